--- /dev/null
+++ b/measures/listing.py
@@ -0,0 +1,107 @@
+"""Cost of reading the platform's list at the target scale."""
+
+import socket
+import time
+
+from fescueflow.core import SystemClock, SystemRandomness
+from fescueflow.membership import ListService
+from fescueflow.metrics import Metrics
+from fescueflow.platform import HttpInstanceListClient
+from fescueflow.rights.holdings import PeerView, ShareTable
+from fescueflow.transport import SystemNetwork
+from measures.report import Measure
+from tests.builders import build_settings
+from tests.standins.deployment import get_region
+from tests.standins.instance_list import InstanceListStandin
+
+INSTANCES, UPSTREAMS, ZONES, REGIONS, MODELS = 450, 3400, 23, 7, 13
+READINGS = 5
+LIMIT_CORE = 0.049
+LIMIT_BYTES_PER_S = 12_000
+
+
+def make_location(number):
+    place = number % ZONES
+    zone = f"region{place % REGIONS}-zone{place}"
+    return {"zone": zone, "region": get_region(zone)}
+
+
+def fill(standin):
+    addresses = {"http_address": "10.0.0.1:8000", "peer_address": "10.0.0.1:8001"}
+    standin.load(
+        "instances",
+        [
+            {"id": f"instance-{n}", **addresses, **make_location(n)}
+            for n in range(INSTANCES)
+        ],
+    )
+    standin.load(
+        "upstreams",
+        [
+            {
+                "id": f"engine-{n}",
+                "group": f"model-{n % MODELS}",
+                "address": "10.0.0.1:8002",
+                **make_location(n),
+            }
+            for n in range(UPSTREAMS)
+        ],
+    )
+
+
+class CountingSocket(socket.socket):
+    """Counts the bytes that all connections received."""
+
+    received = 0
+
+    def recv_into(self, buffer, *arguments):
+        count = super().recv_into(buffer, *arguments)
+        CountingSocket.received += count
+        return count
+
+
+def connect_counted(address, timeout_s):
+    opened = SystemNetwork().connect(address, timeout_s)
+    return CountingSocket(fileno=opened.detach())
+
+
+def make_service(standin):
+    """Return a list service that feeds a share table as in an instance."""
+    clock = SystemClock()
+    client = HttpInstanceListClient(
+        url=standin.url, clock=clock, connect=connect_counted
+    )
+    service = ListService(
+        client=client,
+        settings=build_settings("instance-0", "region0-zone0"),
+        clock=clock,
+        randomness=SystemRandomness(),
+        metrics=Metrics(),
+    )
+    table = ShareTable("instance-0", 8.0, 3.0, 3.0)
+    peers = PeerView(frozenset(), frozenset())
+    service.subscribe(lambda snapshot: table.apply(snapshot, peers))
+    return service
+
+
+def measure_listing(seed):
+    """Yield CPU time and bytes of readings, one a second by default."""
+    with InstanceListStandin() as standin:
+        fill(standin)
+        service = make_service(standin)
+        started = time.thread_time()
+        service.refresh()
+        first_s = time.thread_time() - started
+        first_bytes = CountingSocket.received
+        started = time.thread_time()
+        for _ in range(READINGS):
+            service.refresh()
+        unchanged_s = (time.thread_time() - started) / READINGS
+        size = (CountingSocket.received - first_bytes) / READINGS
+    yield Measure("list_first_reading_cpu", first_s, "s", seed)
+    yield Measure("list_unchanged_reading_cpu", unchanged_s, "s", seed, LIMIT_CORE)
+    yield Measure("list_first_reading_bytes", first_bytes, "B", seed)
+    yield Measure("list_unchanged_reading_bytes", size, "B", seed, LIMIT_BYTES_PER_S)
+
+
+__all__ = ["measure_listing"]
--- /dev/null
+++ b/src/fescueflow/__init__.py
@@ -0,0 +1,5 @@
+"""fescueflow: a router fleet for many returning chats."""
+
+__version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- /dev/null
+++ b/src/fescueflow/admission/digests.py
@@ -0,0 +1,77 @@
+"""Sending of load digests to the other members of the region."""
+
+from collections.abc import Callable
+
+from fescueflow.admission.loads import compute_digest_times, split_batches
+from fescueflow.membership import MembershipService
+from fescueflow.schema import LoadDigest, UpstreamLoad
+from fescueflow.transport import DatagramEndpoint
+
+
+class DigestSender:
+    """Sends the loads of this instance's homes; one task calls it.
+
+    Parameters
+    ----------
+    membership : MembershipService
+    endpoint : DatagramEndpoint
+    list_loads : callable
+        Returns the loads of the upstreams whose home this instance is.
+
+    Notes
+    -----
+    A receiver counts an upstream without a digest as idle. So a load of zero is
+    sent only for as long as receivers may keep the load before it, and an idle
+    instance sends no digests.
+    """
+
+    def __init__(
+        self,
+        *,
+        membership: MembershipService,
+        endpoint: DatagramEndpoint,
+        list_loads: Callable[[], list[UpstreamLoad]],
+    ) -> None:
+        self.times = compute_digest_times(0)
+        self._membership = membership
+        self._endpoint = endpoint
+        self._list_loads = list_loads
+        self._sent_at = float("-inf")
+        self._sent: dict[int, int] = {}
+        self._sequence = 0
+        self._told_until: dict[int, float] = {}
+
+    def send_when_due(self, now: float) -> None:
+        """Send a digest if its interval has passed, earlier after a change."""
+        age_s = now - self._sent_at
+        if age_s < self.times.changed_s:
+            return
+        own = self._membership.get_own()
+        peers = [
+            member.peer_address
+            for member in self._membership.get_members()
+            if member.region == own.region and member.instance != own.instance
+        ]
+        self.times = times = compute_digest_times(len(peers))
+        entries = self._choose_entries(now)
+        loads = {entry.upstream: entry.in_flight for entry in entries}
+        changed = loads != self._sent
+        if age_s < (times.changed_s if changed else times.unchanged_s):
+            return
+        self._sent_at = now
+        self._sent = loads
+        for part in split_batches(entries):
+            self._sequence += 1
+            self._endpoint.send_all(peers, LoadDigest(self._sequence, part))
+
+    def _choose_entries(self, now: float) -> list[UpstreamLoad]:
+        """Return the loads that a receiver would not assume by itself."""
+        entries = self._list_loads()
+        until = now + self.times.kept_s
+        self._told_until.update({e.upstream: until for e in entries if e.in_flight})
+        for upstream in [u for u, until in self._told_until.items() if until <= now]:
+            del self._told_until[upstream]
+        return [entry for entry in entries if entry.upstream in self._told_until]
+
+
+__all__ = ["DigestSender"]
--- /dev/null
+++ b/src/fescueflow/api/__init__.py
@@ -0,0 +1,6 @@
+"""Callers' and operators' interface."""
+
+from fescueflow.api.application import Application, make_application
+from fescueflow.api.server import HttpServer
+
+__all__ = ["Application", "HttpServer", "make_application"]
--- /dev/null
+++ b/src/fescueflow/api/application.py
@@ -0,0 +1,234 @@
+"""WSGI application for callers and operators."""
+
+import http.client
+import secrets
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from fescueflow.admission import AdmissionService
+from fescueflow.api.address import AddressService
+from fescueflow.api.errors import UnknownPath
+from fescueflow.api.operations import JSON_TYPE, OperationsService, make_page
+from fescueflow.api.presence import Presence
+from fescueflow.api.reading import Environment, read_call, read_path, read_query
+from fescueflow.audit import AuditKind, AuditTrail
+from fescueflow.configuration import ConfigurationStore
+from fescueflow.core import Clock, Moved, Outcome, RequestError, SystemClock
+from fescueflow.delivery import Answer, Call, Dispatcher, StreamBody
+from fescueflow.membership import ListService, MembershipService
+from fescueflow.metrics import Metrics
+from fescueflow.placement import PlacementService
+from fescueflow.requests import RequestService, describe_error
+from fescueflow.rights import RightsService
+from fescueflow.schema import Settings
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICES_PATH = "/v1/services/"
+ADDRESS_PATH = "/v1/address"
+ID_VARIABLE = "HTTP_FESCUEFLOW_REQUEST_ID"
+# Key of the server's function that writes to the caller without waiting.
+TRY_WRITE_KEY = "fescueflow.try_write"
+# Bodies are written in parts, so that the server's buffer stays small.
+PART_BYTES = 65536
+AUDITED_TEXT_MAX = 256
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+def split_body(body: bytes) -> Iterator[bytes]:
+    """Yield a body in parts."""
+    for start in range(0, len(body), PART_BYTES):
+        yield body[start : start + PART_BYTES]
+
+
+def close_body(body: Any) -> None:
+    """Close a streamed body."""
+    close = getattr(body, "close", None)
+    if close is not None:
+        close()
+
+
+class Application:
+    """WSGI callable."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        dispatcher: Dispatcher,
+        address: AddressService,
+        operations: OperationsService,
+        presence: Presence,
+        metrics: Metrics,
+        audit: AuditTrail,
+    ) -> None:
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._address = address
+        self._operations = operations
+        self._presence = presence
+        self._metrics = metrics
+        self._audit = audit
+
+    def __call__(
+        self, environ: Environment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        path = read_path(environ)
+        if path == CHAT_PATH or path.startswith(SERVICES_PATH):
+            answer = self._serve_call(environ)
+        else:
+            answer = self._serve_page(environ, path)
+        status = f"{answer.status} {http.client.responses.get(answer.status, 'Other')}"
+        headers = list(answer.headers)
+        headers.append(("Fescueflow-Instance", self._settings.instance_id))
+        body = answer.body
+        if isinstance(body, bytes):
+            headers.append(("Content-Length", str(len(body))))
+            start_response(status, headers)
+            return split_body(body)
+        try_write = environ.get(TRY_WRITE_KEY)
+        if isinstance(body, StreamBody) and try_write is not None:
+            body.attach(try_write)
+        try:
+            start_response(status, headers)
+        except BaseException:
+            close_body(body)
+            raise
+        return body
+
+    def _serve_page(self, environ: Environment, path: str) -> Answer:
+        try:
+            page = self._operations.pages.get(path)
+            if environ["REQUEST_METHOD"] not in {"GET", "HEAD"}:
+                raise UnknownPath("no such path with this method")
+            if path == ADDRESS_PATH:
+                shown = make_page(self._address.answer(read_query(environ)))
+            elif page is not None:
+                shown = page(read_query(environ))
+            else:
+                raise UnknownPath("no such path")
+        except RequestError as error:
+            return self._make_error(error, None)
+        except Exception as error:  # noqa: BLE001
+            return self._make_error(self._wrap(error), None)
+        return Answer(shown.status, [("Content-Type", shown.content_type)], shown.body)
+
+    def _serve_call(self, environ: Environment) -> Answer:
+        try:
+            call = self._admit(environ)
+        except RequestError as error:
+            if environ.get(ID_VARIABLE) is not None:
+                # Another attempt with this id may have run; only its owner knows.
+                error.outcome = Outcome.UNKNOWN
+            self._record_refusal(environ, error)
+            return self._make_error(error, None)
+        try:
+            answer = self._dispatcher.dispatch(call)
+        except RequestError as error:
+            return self._make_error(error, call.assigned_id)
+        except Exception as error:  # noqa: BLE001
+            return self._make_error(self._wrap(error), call.assigned_id)
+        if call.assigned_id is not None:
+            answer.headers.append(("Fescueflow-Request-Id", call.assigned_id))
+        return answer
+
+    def _admit(self, environ: Environment) -> Call:
+        call = read_call(environ, self._settings)
+        if self._presence.has_moved():
+            raise Moved("this instance serves no more callers")
+        return call
+
+    def _wrap(self, error: Exception) -> RequestError:
+        self._metrics.count("internal_errors", kind=type(error).__name__)
+        return RequestError(f"internal error ({type(error).__name__})")
+
+    def _make_error(self, error: RequestError, request_id: str | None) -> Answer:
+        if isinstance(error, Moved) and error.address is None:
+            error.address = self._presence.find_other_address(secrets.token_hex(8))
+        self._metrics.count("errors", type=error.type)
+        page = make_page(describe_error(error), error.status)
+        headers = [("Content-Type", JSON_TYPE)]
+        if request_id is not None:
+            headers.append(("Fescueflow-Request-Id", request_id))
+        return Answer(error.status, headers, page.body)
+
+    def _record_refusal(self, environ: Environment, error: RequestError) -> None:
+        is_refusal = error.outcome is Outcome.NOT_RUN
+        customer = environ.get("HTTP_FESCUEFLOW_CUSTOMER", "")
+        request_id = environ.get(ID_VARIABLE)
+        self._audit.record(
+            AuditKind.REQUEST_REFUSED if is_refusal else AuditKind.REQUEST_UNKNOWN,
+            customer=customer[:AUDITED_TEXT_MAX],
+            request_id=request_id[:AUDITED_TEXT_MAX] if request_id else None,
+            request_class="unresolved",
+            upstream=None,
+            outcome=error.outcome.value,
+            error=error.type,
+            duration_ms=0.0,
+        )
+
+
+def make_application(
+    *,
+    settings: Settings,
+    dispatcher: Dispatcher,
+    requests: RequestService,
+    placement: PlacementService,
+    rights: RightsService,
+    membership: MembershipService,
+    list_service: ListService,
+    store: ConfigurationStore,
+    admission: AdmissionService,
+    metrics: Metrics,
+    audit: AuditTrail,
+    readiness: Callable[[], bool],
+    clock: Clock | None = None,
+) -> Application:
+    """Return the WSGI application of an instance.
+
+    Parameters
+    ----------
+    readiness : callable
+        Whether the instance has finished its start.
+    clock : Clock, optional
+        The system's clock by default.
+    """
+    presence = Presence(
+        settings=settings,
+        membership=membership,
+        list_service=list_service,
+        store=store,
+        rights=rights,
+        clock=clock or SystemClock(),
+    )
+    address = AddressService(
+        settings=settings,
+        presence=presence,
+        requests=requests,
+        placement=placement,
+        store=store,
+    )
+    operations = OperationsService(
+        presence=presence,
+        dispatcher=dispatcher,
+        rights=rights,
+        membership=membership,
+        store=store,
+        admission=admission,
+        metrics=metrics,
+        audit=audit,
+        readiness=readiness,
+    )
+    return Application(
+        settings=settings,
+        dispatcher=dispatcher,
+        address=address,
+        operations=operations,
+        presence=presence,
+        metrics=metrics,
+        audit=audit,
+    )
+
+
+__all__ = ["TRY_WRITE_KEY", "Application", "make_application"]
--- /dev/null
+++ b/src/fescueflow/api/operations.py
@@ -0,0 +1,139 @@
+"""Operators' endpoints."""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass
+from enum import Enum
+from typing import Any
+
+from fescueflow.admission import AdmissionService
+from fescueflow.api.presence import Presence
+from fescueflow.api.reading import read_number
+from fescueflow.audit import AuditTrail
+from fescueflow.configuration import ConfigurationStore, describe_configuration
+from fescueflow.core import NotReady, UnknownCustomer
+from fescueflow.delivery import Dispatcher
+from fescueflow.membership import MembershipService
+from fescueflow.metrics import Metrics
+from fescueflow.rights import RightsService
+
+JSON_TYPE = "application/json"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+LINES_TYPE = "application/x-ndjson"
+
+Query = Mapping[str, str]
+
+
+@dataclass(frozen=True)
+class Page:
+    """A complete answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+def to_json(value: Any) -> Any:
+    """Return a JSON value for what ``json`` can't encode."""
+    if isinstance(value, Enum):
+        return value.name.lower() if isinstance(value, int) else value.value
+    if isinstance(value, frozenset | set):
+        return sorted(value)
+    return value.hex() if isinstance(value, bytes) else str(value)
+
+
+def make_page(value: Any, status: int = 200) -> Page:
+    """Return JSON values as an answer."""
+    body = json.dumps(value, default=to_json, sort_keys=True).encode()
+    return Page(status, JSON_TYPE, body + b"\n")
+
+
+class OperationsService:
+    """Answers operators' requests."""
+
+    def __init__(
+        self,
+        *,
+        presence: Presence,
+        dispatcher: Dispatcher,
+        rights: RightsService,
+        membership: MembershipService,
+        store: ConfigurationStore,
+        admission: AdmissionService,
+        metrics: Metrics,
+        audit: AuditTrail,
+        readiness: Callable[[], bool],
+    ) -> None:
+        self._presence = presence
+        self._dispatcher = dispatcher
+        self._rights = rights
+        self._membership = membership
+        self._store = store
+        self._admission = admission
+        self._metrics = metrics
+        self._audit = audit
+        self._readiness = readiness
+        self.pages: dict[str, Callable[[Query], Page]] = {
+            "/healthz": lambda query: make_page({"status": "ok"}),
+            "/readyz": self._show_readiness,
+            "/metrics": self._show_metrics,
+            "/v1/status": self._show_status,
+            "/v1/audit": self._show_audit,
+            "/v1/configuration": self._show_configuration,
+        }
+
+    def _is_ready(self) -> bool:
+        return self._readiness() and not self._dispatcher.has_failed()
+
+    def _show_readiness(self, query: Query) -> Page:
+        ready, leaving = self._is_ready(), self._presence.is_leaving()
+        # After a pause callers are sent elsewhere until the instance is current.
+        moved = self._presence.has_moved()
+        status = 200 if ready and not leaving and not moved else 503
+        shown = {"ready": ready, "leaving": leaving, "moved": moved}
+        return make_page(shown, status)
+
+    def _show_metrics(self, query: Query) -> Page:
+        return Page(200, METRICS_TYPE, self._metrics.render().encode())
+
+    def _show_status(self, query: Query) -> Page:
+        configuration = self._store.get()
+        own = self._membership.get_own()
+        return make_page(
+            {
+                "instance": own.instance,
+                "incarnation": f"{own.incarnation:016x}",
+                "zone": own.zone,
+                "region": own.region,
+                "state": own.state,
+                "ready": self._is_ready(),
+                "leaving": self._presence.is_leaving(),
+                "fenced": self._rights.is_fenced(),
+                "revision": configuration.revision if configuration else None,
+                "requests_running": self._dispatcher.count_running(),
+                "members": [
+                    asdict(m) | {"incarnation": f"{m.incarnation:016x}"}
+                    for m in self._membership.get_members()
+                ],
+                "upstreams": [asdict(s) for s in self._admission.get_status()],
+            }
+        )
+
+    def _show_audit(self, query: Query) -> Page:
+        after = read_number(query.get("after", "0"), "after")
+        instance, incarnation = self._audit.instance, self._audit.incarnation
+        records = self._audit.read_after(after)
+        lines = "".join(f"{r.to_json(instance, incarnation)}\n" for r in records)
+        return Page(200, LINES_TYPE, lines.encode())
+
+    def _show_configuration(self, query: Query) -> Page:
+        configuration = self._store.get()
+        if configuration is None:
+            raise NotReady("no configuration is in force")
+        shown = describe_configuration(configuration, query.get("customer"))
+        if "customer" in query and shown["customer"] is None:
+            raise UnknownCustomer("the customer is not configured")
+        return make_page(shown)
+
+
+__all__ = ["JSON_TYPE", "OperationsService", "Page", "make_page"]
--- /dev/null
+++ b/src/fescueflow/api/reading.py
@@ -0,0 +1,105 @@
+"""Calls read from the WSGI environment."""
+
+import re
+from collections.abc import Iterator
+from typing import Any
+from urllib.parse import parse_qs, quote
+
+from fescueflow.core import BodyTooLarge, InvalidRequest
+from fescueflow.delivery import Call
+from fescueflow.schema import Settings
+
+PATH_SAFE = "/:@!$&'()*+,;=~-._"
+QUERY_SAFE = PATH_SAFE + "?%[]"
+DEADLINE_MAX_MS = 600_000
+NUMBER = re.compile(r"[0-9]{1,18}")
+
+Environment = dict[str, Any]
+
+
+def read_path(environ: Environment) -> str:
+    """Return the path, percent-encoded."""
+    return quote(environ.get("PATH_INFO", "").encode("latin-1"), safe=PATH_SAFE)
+
+
+def read_query(environ: Environment) -> dict[str, str]:
+    """Return the first value of each query parameter."""
+    parsed = parse_qs(environ.get("QUERY_STRING", ""), errors="replace")
+    return {name: values[0] for name, values in parsed.items()}
+
+
+def read_number(text: str, name: str) -> int:
+    """Return a whole number.
+
+    Raises
+    ------
+    InvalidRequest
+        If the text is something else.
+    """
+    if not NUMBER.fullmatch(text):
+        raise InvalidRequest(f"{name} is not a whole number")
+    return int(text)
+
+
+def read_headers(environ: Environment) -> Iterator[tuple[str, str]]:
+    """Yield the request headers."""
+    for name, value in environ.items():
+        if name.startswith("HTTP_"):
+            yield name[5:].replace("_", "-").title(), value
+    if environ.get("CONTENT_TYPE"):
+        yield "Content-Type", environ["CONTENT_TYPE"]
+
+
+def read_body(environ: Environment, limit: int) -> bytes:
+    """Return the request body.
+
+    Raises
+    ------
+    BodyTooLarge
+    InvalidRequest
+        If the body is shorter than announced.
+    """
+    length = read_number(environ.get("CONTENT_LENGTH") or "0", "Content-Length")
+    if length > limit:
+        raise BodyTooLarge(f"the body exceeds {limit} bytes")
+    body = environ["wsgi.input"].read(length) if length else b""
+    if len(body) != length:
+        raise InvalidRequest("the body is not complete")
+    return body
+
+
+def read_call(environ: Environment, settings: Settings) -> Call:
+    """Return the call that a request holds.
+
+    Raises
+    ------
+    InvalidRequest
+    """
+    customer = environ.get("HTTP_FESCUEFLOW_CUSTOMER")
+    if not customer:
+        raise InvalidRequest("the header Fescueflow-Customer is missing")
+    deadline = environ.get("HTTP_FESCUEFLOW_DEADLINE_MS")
+    deadline_ms = None
+    if deadline is not None:
+        deadline_ms = read_number(deadline, "Fescueflow-Deadline-Ms")
+        deadline_ms = max(1, min(deadline_ms, DEADLINE_MAX_MS))
+    path = read_path(environ)
+    query = quote(environ.get("QUERY_STRING", "").encode("latin-1"), safe=QUERY_SAFE)
+    return Call(
+        customer=customer,
+        method=environ["REQUEST_METHOD"],
+        path=f"{path}?{query}" if query else path,
+        headers=tuple(read_headers(environ)),
+        body=read_body(environ, settings.request_body_max_bytes),
+        request_id=environ.get("HTTP_FESCUEFLOW_REQUEST_ID"),
+        deadline_ms=deadline_ms,
+    )
+
+
+__all__ = [
+    "Environment",
+    "read_call",
+    "read_number",
+    "read_path",
+    "read_query",
+]
--- /dev/null
+++ b/src/fescueflow/api/server.py
@@ -0,0 +1,225 @@
+"""HTTP server for the WSGI application."""
+
+import contextlib
+import json
+import logging
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from waitress import create_server
+from waitress.channel import ClientDisconnected, HTTPChannel
+from waitress.task import ErrorTask, WSGITask
+from waitress.wasyncore import close_all, dispatcher
+
+from fescueflow.api.application import TRY_WRITE_KEY, Application
+from fescueflow.api.operations import JSON_TYPE
+from fescueflow.api.threads import ReservedThreads
+from fescueflow.core import BodyTooLarge, InvalidRequest, Outcome, RequestError
+from fescueflow.delivery import StreamCut
+from fescueflow.requests import describe_error
+from fescueflow.schema import Settings
+
+HEADER_BYTES_MAX = 65536
+# A response waits for the caller when this much is not yet sent.
+PENDING_BYTES_MAX = 1 << 20
+# Larger than any pending output: waitress writes what exceeds it to a file.
+NEVER_SPILL_BYTES = 1 << 30
+IDLE_TIMEOUT_S = 120
+STOP_TIMEOUT_S = 0.5
+DRAIN_S = 1.0
+POLL_S = 0.01
+
+
+class JsonErrorTask(ErrorTask):
+    """Answers requests that waitress itself refuses."""
+
+    def execute(self) -> None:
+        """Write the error as JSON."""
+        refused = self.request.error
+        error = describe_refusal(refused.code, refused.body, self.request.headers)
+        body = json.dumps(describe_error(error)).encode()
+        self.status = f"{refused.code} {refused.reason}"
+        self.response_headers.append(("Content-Type", JSON_TYPE))
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
+def describe_refusal(code: int, message: str, headers: dict[str, str]) -> RequestError:
+    """Return the error for a request that did not reach the application."""
+    if code == BodyTooLarge.status:
+        # Only a request that names no id is known not to have run.
+        unknown = "FESCUEFLOW_REQUEST_ID" in headers
+        outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
+        return BodyTooLarge("the body is too large", outcome)
+    if code < 500:
+        return InvalidRequest(message, Outcome.UNKNOWN)
+    return RequestError("internal error", Outcome.UNKNOWN)
+
+
+class RelayTask(WSGITask):
+    """Lets a streamed body write to the caller from another thread."""
+
+    def get_environment(self) -> dict[str, Any]:
+        """Return the environment with the function that writes."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[TRY_WRITE_KEY] = self.try_write
+        return environ
+
+    def try_write(self, data: bytes) -> bool:
+        """Write a part of the body without waiting.
+
+        Returns
+        -------
+        bool
+            False, with nothing written, if the caller has disconnected or is slow,
+            or before the head; the request's own thread then writes.
+        """
+        pending = self.channel.total_outbufs_len
+        if not self.wrote_header or pending >= PENDING_BYTES_MAX // 2:
+            return False
+        try:
+            self.write(data)
+        except ClientDisconnected:
+            return False
+        return True
+
+
+class JsonChannel(HTTPChannel):
+    """Connection of a caller."""
+
+    task_class = RelayTask
+
+    def write_soon(self, data: Any) -> int:
+        """Send data at once if none is pending; pass the rest to the buffers.
+
+        The buffers of waitress cost as much as the system call, and an answer's
+        parts hardly ever stay in them.
+        """
+        if not isinstance(data, bytes) or self.total_outbufs_len or not data:
+            return int(super().write_soon(data))
+        sent = 0
+        # The server's loop closes the connection, and sends, under this lock.
+        with self.outbuf_lock:
+            if self.connected and not self.total_outbufs_len:
+                # Errors are met again, and handled, by the buffered way.
+                with contextlib.suppress(OSError):
+                    sent = self.socket.send(data)
+                    self.last_activity = time.time()
+        if sent < len(data):
+            super().write_soon(data[sent:])
+        return len(data)
+
+    error_task_class = JsonErrorTask
+
+
+def is_unexpected(record: logging.LogRecord) -> bool:
+    """Return whether a log record is not about a stream that was cut on purpose."""
+    cause = record.exc_info[1] if record.exc_info else None
+    return not isinstance(cause, StreamCut)
+
+
+def has_pending(server: Any) -> bool:
+    """Return whether a caller still waits for an answer or a part of one."""
+    channels = list(server.active_channels.values())
+    return any(channel.requests or channel.total_outbufs_len for channel in channels)
+
+
+def run_in_loop(server: Any, action: Callable[[], None]) -> None:
+    """Run an action in the server's loop, not at all if the loop has ended."""
+    # Its trigger is closed by then.
+    with contextlib.suppress(OSError):
+        server.trigger.pull_trigger(action)
+
+
+class HttpServer:
+    """Serves callers and operators.
+
+    Parameters
+    ----------
+    settings : Settings
+    application : Application
+    listener : socket.socket, optional
+        Bound socket; by default one is opened at ``http_address``.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        application: Application,
+        listener: socket.socket | None = None,
+    ) -> None:
+        self._settings = settings
+        self._application = application
+        self._listener = listener
+        self._lock = threading.Lock()
+        self._server: Any = None
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Accept connections."""
+        with self._lock:
+            if self._thread is not None:
+                return
+            logging.getLogger("waitress").addFilter(is_unexpected)
+            self._server = create_server(self._application, **self._make_options())
+            self._server.channel_class = JsonChannel
+            threads = ReservedThreads(self._server.task_dispatcher)
+            self._server.task_dispatcher = threads
+            self._thread = threading.Thread(
+                target=self._server.run, name="http", daemon=True
+            )
+            self._thread.start()
+
+    def stop(self, drain_s: float = DRAIN_S) -> None:
+        """Stop listening, send pending answers, and end the threads.
+
+        Parameters
+        ----------
+        drain_s : float, optional
+            Connections with unfinished answers are closed after this many seconds.
+        """
+        with self._lock:
+            server, thread = self._server, self._thread
+            self._server = self._thread = None
+        if server is None or thread is None:
+            return
+        run_in_loop(server, lambda: dispatcher.close(server))
+        ends_at = time.monotonic() + drain_s
+        while has_pending(server) and time.monotonic() < ends_at:
+            time.sleep(POLL_S)
+        run_in_loop(server, lambda: close_all(server._map, True))
+        thread.join(STOP_TIMEOUT_S)
+        server.task_dispatcher.shutdown(cancel_pending=True, timeout=STOP_TIMEOUT_S)
+
+    def get_address(self) -> str:
+        """Return the address that callers connect to."""
+        return f"{self._server.effective_host}:{self._server.effective_port}"
+
+    def _make_options(self) -> dict[str, Any]:
+        settings = self._settings
+        options: dict[str, Any] = {"listen": settings.http_address}
+        if self._listener is not None:
+            options = {"sockets": [self._listener]}
+        return {
+            **options,
+            "threads": settings.http_threads,
+            "connection_limit": settings.http_connections_max,
+            "max_request_body_size": settings.request_body_max_bytes,
+            "max_request_header_size": HEADER_BYTES_MAX,
+            "inbuf_overflow": NEVER_SPILL_BYTES,
+            "outbuf_overflow": NEVER_SPILL_BYTES,
+            "outbuf_high_watermark": PENDING_BYTES_MAX,
+            # Without it a caller that disconnects is noticed only at the end.
+            "channel_request_lookahead": 1,
+            "channel_timeout": IDLE_TIMEOUT_S,
+            "asyncore_use_poll": True,
+            "ident": "fescueflow",
+        }
+
+
+__all__ = ["HttpServer"]
--- /dev/null
+++ b/src/fescueflow/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line of fescueflow."""
+
+from fescueflow.cli.program import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/fescueflow/cli/program.py
@@ -0,0 +1,139 @@
+"""Entry point of the program."""
+
+import argparse
+import os
+import sys
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import Any
+
+from fescueflow import __version__
+from fescueflow.cli.commands import (
+    EXIT_FAILED,
+    EXIT_INVALID,
+    check,
+    diff_configuration,
+    pack_configuration,
+    serve,
+    show_audit,
+    show_configuration,
+    show_status,
+)
+from fescueflow.cli.directory import UnreadableDirectory
+from fescueflow.cli.remote import RemoteError
+from fescueflow.core import InvalidConfiguration, InvalidSettings
+from fescueflow.settings import add_arguments
+
+Command = Callable[[argparse.Namespace, Mapping[str, str]], int]
+DESCRIPTION = """\
+Router fleet between callers and upstreams. Settings are flags of `serve` or
+environment variables FESCUEFLOW_<NAME>; flags go before variables."""
+EPILOG = """\
+exit codes: 0 success; 1 no answer, or a difference found by `config diff`;
+2 invalid input, with every problem and its place"""
+
+
+def add_address(
+    parser: argparse.ArgumentParser, environment: Mapping[str, str]
+) -> None:
+    """Add the address of the running instance that a command asks."""
+    default = environment.get("FESCUEFLOW_HTTP_ADDRESS")
+    parser.add_argument(
+        "--address",
+        default=default,
+        required=default is None,
+        metavar="IP:PORT",
+        help="HTTP address of a running instance [FESCUEFLOW_HTTP_ADDRESS]",
+    )
+
+
+def add_command(
+    group: Any, output: argparse.ArgumentParser, name: str, run: Command, text: str
+) -> argparse.ArgumentParser:
+    """Add a command with the options of ``output`` and return its parser."""
+    added: argparse.ArgumentParser = group.add_parser(
+        name, help=text, description=text, parents=[output]
+    )
+    added.set_defaults(run=run)
+    return added
+
+
+def add_configuration_commands(
+    commands: Any, output: argparse.ArgumentParser, environment: Mapping[str, str]
+) -> None:
+    """Add the commands below ``config``."""
+    config = commands.add_parser("config", help="show, compare or pack configurations")
+    parts = config.add_subparsers(required=True, metavar="COMMAND")
+    text = "show what an instance has in force"
+    show = add_command(parts, output, "show", show_configuration, text)
+    add_address(show, environment)
+    show.add_argument("--customer", help="id of a customer to show in full")
+    text = "compare a directory with what an instance has in force"
+    diff = add_command(parts, output, "diff", diff_configuration, text)
+    diff.add_argument("directory")
+    add_address(diff, environment)
+    diff.add_argument("--customer", action="append", default=[], help="compare it too")
+    text = "print the manifest of a directory's sections and their digests"
+    pack = add_command(parts, output, "pack", pack_configuration, text)
+    pack.add_argument("directory")
+
+
+def make_parser(environment: Mapping[str, str]) -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="fescueflow",
+        description=DESCRIPTION,
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    output = argparse.ArgumentParser(add_help=False)
+    output.add_argument("--json", action="store_true", help="print JSON")
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    add = partial(add_command, commands, output)
+    add_arguments(add("serve", serve, "run one instance"))
+    checked = add("check", check, "check settings and a configuration")
+    checked.add_argument("directory", nargs="?", help="manifest.json, sections/*.json")
+    add_arguments(checked)
+    status = add("status", show_status, "show the state of an instance")
+    add_address(status, environment)
+    audit = add("audit", show_audit, "print audit records of an instance")
+    add_address(audit, environment)
+    audit.add_argument("--after", type=int, default=0, help="sequence number [0]")
+    add_configuration_commands(commands, output, environment)
+    return parser
+
+
+def main(
+    arguments: list[str] | None = None, environment: Mapping[str, str] | None = None
+) -> int:
+    """Run the command line.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+    environment : mapping of str to str, optional
+
+    Returns
+    -------
+    int
+        Exit code: 0, 1 for a failure or difference, 2 for invalid input.
+    """
+    variables = os.environ if environment is None else environment
+    parsed = make_parser(variables).parse_args(arguments)
+    try:
+        code: int = parsed.run(parsed, variables)
+        return code
+    except (InvalidSettings, InvalidConfiguration) as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_INVALID
+    except UnreadableDirectory as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
+    except RemoteError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, ended first.
+        return EXIT_FAILED
--- /dev/null
+++ b/src/fescueflow/cli/remote.py
@@ -0,0 +1,92 @@
+"""HTTP requests to a running instance or configuration service."""
+
+import http.client
+import json
+from typing import Any
+from urllib.parse import urlsplit
+
+from fescueflow.core import FescueflowError
+
+TIMEOUT_S = 5.0
+BODY_BYTES_MAX = 64 << 20
+
+
+class RemoteError(FescueflowError):
+    """A remote side gave no usable answer."""
+
+
+def get_body(address: str, path: str) -> tuple[bytes, dict[str, str]]:
+    """Return body and headers (lower-case names) of a GET request.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` or the base URL.
+    path : str
+
+    Raises
+    ------
+    RemoteError
+        If there is no answer with status 200.
+    """
+    parts = urlsplit(address if "//" in address else f"http://{address}")
+    place = f"http://{parts.netloc}{parts.path.rstrip('/')}{path}"
+    try:
+        connection = http.client.HTTPConnection(
+            parts.hostname or "", parts.port or 80, timeout=TIMEOUT_S
+        )
+        try:
+            connection.request("GET", parts.path.rstrip("/") + path)
+            response = connection.getresponse()
+            body = response.read(BODY_BYTES_MAX)
+            headers = {name.lower(): value for name, value in response.getheaders()}
+        finally:
+            connection.close()
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        raise RemoteError(f"{place}: {error or type(error).__name__}") from error
+    if response.status != 200:
+        shown = body[:200].decode("utf-8", "replace")
+        raise RemoteError(f"{place}: status {response.status}: {shown}")
+    return body, headers
+
+
+def get_json(address: str, path: str) -> Any:
+    """Return the JSON value of a GET request.
+
+    Raises
+    ------
+    RemoteError
+        If there is no answer with status 200 and JSON.
+    """
+    body, _ = get_body(address, path)
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise RemoteError(f"{path}: the answer is not JSON: {error}") from error
+
+
+def get_records(address: str, after: int) -> list[dict[str, Any]]:
+    """Return the audit records that follow a sequence number.
+
+    The instance answers with one record per line or with a JSON list, plain or
+    under ``records``.
+    """
+    body, _ = get_body(address, f"/v1/audit?after={after}")
+    try:
+        lines = [json.loads(line) for line in body.splitlines() if line.strip()]
+        if len(lines) == 1 and isinstance(lines[0], list):
+            lines = lines[0]
+        elif len(lines) == 1 and "records" in lines[0]:
+            lines = lines[0]["records"]
+    except ValueError:
+        try:
+            value = json.loads(body)
+        except ValueError as error:
+            raise RemoteError(f"/v1/audit: the answer is not JSON: {error}") from error
+        lines = value.get("records", []) if isinstance(value, dict) else value
+    if not all(isinstance(line, dict) for line in lines):
+        raise RemoteError("/v1/audit: the answer does not hold records")
+    return list(lines)
+
+
+__all__ = ["RemoteError", "get_body", "get_json", "get_records"]
--- /dev/null
+++ b/src/fescueflow/core/__init__.py
@@ -0,0 +1,10 @@
+"""Identifiers, states, errors, clock and randomness used by all packages."""
+
+from fescueflow.core import clock, errors, identifiers, states
+from fescueflow.core.clock import *  # noqa: F403
+from fescueflow.core.errors import *  # noqa: F403
+from fescueflow.core.identifiers import *  # noqa: F403
+from fescueflow.core.states import *  # noqa: F403
+
+__all__ = ["clock", "errors", "identifiers", "states"]
+__all__ += clock.__all__ + errors.__all__ + identifiers.__all__ + states.__all__
--- /dev/null
+++ b/src/fescueflow/core/errors.py
@@ -0,0 +1,194 @@
+"""Exception tree of fescueflow.
+
+Errors that reach a caller derive from ``RequestError`` and carry the HTTP
+status, a machine-readable type and whether the request ran.
+"""
+
+from fescueflow.core.states import Outcome
+
+
+class FescueflowError(Exception):
+    """Base class of all errors of this package."""
+
+
+class InvalidSettings(FescueflowError):
+    """Settings with problems, all of them listed."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class InvalidConfiguration(FescueflowError):
+    """A published configuration with problems, each with its place."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class PlatformUnavailable(FescueflowError):
+    """The configuration service or the instance list gave no usable answer."""
+
+
+class PeerError(FescueflowError):
+    """An exchange with another instance failed.
+
+    Parameters
+    ----------
+    message : str
+    sent : bool
+        Whether any byte of the request may have reached the other instance.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class RequestError(FescueflowError):
+    """A failure that the caller sees.
+
+    Parameters
+    ----------
+    message : str
+    outcome : Outcome, optional
+    retry_after_ms : int, optional
+        Suggested delay before a retry, in milliseconds.
+    address : str, optional
+        Another instance to use, as ``ip:port``.
+    """
+
+    status = 500
+    type = "internal_error"
+    default_outcome = Outcome.UNKNOWN
+
+    def __init__(
+        self,
+        message: str,
+        outcome: Outcome | None = None,
+        retry_after_ms: int | None = None,
+        address: str | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.outcome = outcome or self.default_outcome
+        self.retry_after_ms = retry_after_ms
+        self.address = address
+
+
+class InvalidRequest(RequestError):
+    """The request is malformed."""
+
+    status = 400
+    type = "invalid_request"
+    default_outcome = Outcome.NOT_RUN
+
+
+class InvalidRequestId(InvalidRequest):
+    """The request id or token was not issued by this fleet."""
+
+    type = "invalid_request_id"
+
+
+class BodyTooLarge(InvalidRequest):
+    """The request body exceeds the limit."""
+
+    status = 413
+    type = "body_too_large"
+
+
+class UnknownCustomer(InvalidRequest):
+    """The customer is not in the configuration."""
+
+    status = 404
+    type = "unknown_customer"
+
+
+class UnknownModel(InvalidRequest):
+    """The customer's template does not name the model or service."""
+
+    status = 404
+    type = "unknown_model"
+
+
+class RequestIdReused(RequestError):
+    """A request id came with a different request."""
+
+    status = 422
+    type = "request_id_reused"
+
+
+class Overloaded(RequestError):
+    """No upstream can take the request within its deadline."""
+
+    status = 503
+    type = "overloaded"
+    default_outcome = Outcome.NOT_RUN
+
+
+class NotReady(RequestError):
+    """The instance has no configuration yet or no upstream is known."""
+
+    status = 503
+    type = "not_ready"
+    default_outcome = Outcome.NOT_RUN
+
+
+class Moved(RequestError):
+    """The instance takes no new requests; another address is given."""
+
+    status = 503
+    type = "moved"
+    default_outcome = Outcome.NOT_RUN
+
+
+class DeadlineExceeded(RequestError):
+    """The deadline passed before the answer was complete."""
+
+    status = 504
+    type = "deadline_exceeded"
+
+
+class UpstreamFailed(RequestError):
+    """The upstream failed or its answer was not whole."""
+
+    status = 502
+    type = "upstream_failed"
+
+
+class OwnerUnavailable(RequestError):
+    """The instance that owns the request id can't be reached."""
+
+    status = 504
+    type = "owner_unavailable"
+
+
+class OutcomeUnknown(RequestError):
+    """The request may or may not have run."""
+
+    status = 504
+    type = "outcome_unknown"
+
+
+__all__ = [
+    "BodyTooLarge",
+    "DeadlineExceeded",
+    "FescueflowError",
+    "InvalidConfiguration",
+    "InvalidRequest",
+    "InvalidRequestId",
+    "InvalidSettings",
+    "Moved",
+    "NotReady",
+    "OutcomeUnknown",
+    "Overloaded",
+    "OwnerUnavailable",
+    "PeerError",
+    "PlatformUnavailable",
+    "RequestError",
+    "RequestIdReused",
+    "UnknownCustomer",
+    "UnknownModel",
+    "UpstreamFailed",
+]
--- /dev/null
+++ b/src/fescueflow/delivery/calls.py
@@ -0,0 +1,243 @@
+"""Calls of callers, and what the configuration makes of them."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote
+
+from fescueflow.configuration import Configuration, Customer, ModelRoute
+from fescueflow.core import (
+    CustomerId,
+    GroupId,
+    InvalidRequest,
+    Priority,
+    UnknownCustomer,
+    UnknownModel,
+)
+from fescueflow.placement import PlacementService
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICES_PATH = "/v1/services/"
+OWN_PREFIX = "fescueflow-"
+# Headers that concern one connection, or that this instance sets itself.
+REQUEST_HEADERS_DROPPED = {
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+}
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass
+class Call:
+    """A request as it came from a caller.
+
+    Attributes
+    ----------
+    customer, method : str
+    path : str
+        Percent-encoded, with the query.
+    headers : tuple of (str, str)
+    body : bytes
+    request_id : str or None
+        As the caller sent it.
+    deadline_ms : int or None
+    assigned_id : str or None
+        Set during dispatch: the id that the answer names.
+    """
+
+    customer: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str | None = None
+    deadline_ms: int | None = None
+    assigned_id: str | None = None
+
+    def get_header(self, name: str) -> str | None:
+        """Return the value of a header, ``None`` if it is missing or empty."""
+        for header, value in self.headers:
+            if header.lower() == name.lower() and value:
+                return value
+        return None
+
+
+@dataclass
+class Answer:
+    """What the caller gets; a body that is not bytes is relayed as it comes."""
+
+    status: int
+    headers: Headers
+    body: bytes | Iterable[bytes]
+
+
+@dataclass(frozen=True)
+class ResolvedCall:
+    """A call with its customer, route and upstream request."""
+
+    customer: Customer
+    group: GroupId
+    priority: Priority
+    idempotent: bool
+    streamed: bool
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    document: dict[str, Any] | None
+    affinity_key: str
+    token: str | None
+
+    def make_body(self, resume_from: int = 0) -> bytes:
+        """Return the body for the upstream.
+
+        Parameters
+        ----------
+        resume_from : int, optional
+            Number of tokens that the caller has already.
+        """
+        if self.document is None:
+            return self.body
+        document = dict(self.document)
+        if resume_from:
+            document["resume_from"] = resume_from
+        return json.dumps(document).encode()
+
+
+@dataclass(frozen=True)
+class Route:
+    """Part of a resolved call that depends on the kind of upstream."""
+
+    group: GroupId
+    priority: Priority
+    idempotent: bool
+    target: str
+    model: ModelRoute | None = None
+    document: dict[str, Any] = field(default_factory=dict)
+
+
+def parse_document(body: bytes) -> dict[str, Any]:
+    """Return the JSON object of a chat request.
+
+    Raises
+    ------
+    InvalidRequest
+        If the body is not a JSON object with a model name.
+    """
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise InvalidRequest("the body is not valid JSON") from error
+    if not isinstance(document, dict) or not isinstance(document.get("model"), str):
+        raise InvalidRequest("the body is not an object with a model name")
+    return document
+
+
+def route_chat(customer: Customer, call: Call) -> Route:
+    """Return the route of a chat request."""
+    if call.method != "POST":
+        raise InvalidRequest("chat completions need the method POST")
+    document = parse_document(call.body)
+    model = customer.models.get(document["model"])
+    if model is None:
+        raise UnknownModel("the customer has no such model")
+    target = CHAT_PATH
+    return Route(model.group, model.priority, model.idempotent, target, model, document)
+
+
+def route_service(customer: Customer, call: Call) -> Route:
+    """Return the route of a request to a plain service."""
+    path, _, query = call.path.removeprefix(SERVICES_PATH).partition("?")
+    name, _, rest = path.partition("/")
+    service = customer.services.get(unquote(name))
+    if service is None:
+        raise UnknownModel("the customer has no such service")
+    decoded = "/" + unquote(rest)
+    # Dot segments would let a path match one operation and reach another.
+    if any(part in {".", ".."} for part in decoded.replace("\\", "/").split("/")):
+        raise InvalidRequest("the path has dot segments")
+    operation = service.match(call.method, decoded)
+    target = f"/{rest}?{query}" if query else f"/{rest}"
+    return Route(service.group, operation.priority, operation.idempotent, target)
+
+
+def select_headers(call: Call) -> Headers:
+    """Return the headers that are passed on to the upstream."""
+    return [
+        (name, value)
+        for name, value in call.headers
+        if name.lower() not in REQUEST_HEADERS_DROPPED
+        and not name.lower().startswith(OWN_PREFIX)
+    ]
+
+
+def complete_document(route: Route, affinity_key: str) -> dict[str, Any]:
+    """Return the JSON object that the engine gets."""
+    if route.model is None:
+        raise ValueError("the route has no model")
+    document = {k: v for k, v in route.document.items() if k != "resume_from"}
+    document["model"] = route.model.model
+    document["version"] = route.model.version
+    document["priority"] = int(route.priority)
+    document["cache_key"] = affinity_key
+    return document
+
+
+def resolve_call(
+    configuration: Configuration, placement: PlacementService, call: Call
+) -> ResolvedCall:
+    """Return the call with its route.
+
+    Raises
+    ------
+    UnknownCustomer, UnknownModel, InvalidRequest
+    """
+    customer = configuration.customers.get(CustomerId(call.customer))
+    if customer is None:
+        raise UnknownCustomer("the customer is not configured")
+    path = call.path.partition("?")[0]
+    if path == CHAT_PATH:
+        route = route_chat(customer, call)
+    elif path.startswith(SERVICES_PATH):
+        route = route_service(customer, call)
+    else:
+        raise InvalidRequest("no such path")
+    affinity_key = placement.choose_affinity_key(
+        customer,
+        call.get_header("Fescueflow-Affinity"),
+        call.get_header("Fescueflow-Chat"),
+        call.body,
+    )
+    document, headers = None, select_headers(call)
+    if route.model is not None:
+        document = complete_document(route, affinity_key)
+        headers = [("Content-Type", "application/json")]
+    return ResolvedCall(
+        customer=customer,
+        group=route.group,
+        priority=route.priority,
+        idempotent=route.idempotent,
+        streamed=document is not None and document.get("stream") is True,
+        method=call.method,
+        target=route.target,
+        headers=headers,
+        body=call.body,
+        document=document,
+        affinity_key=affinity_key,
+        token=call.get_header("Fescueflow-Placement"),
+    )
+
+
+__all__ = ["Answer", "Call", "Headers", "ResolvedCall", "resolve_call"]
--- /dev/null
+++ b/src/fescueflow/delivery/dispatcher.py
@@ -0,0 +1,302 @@
+"""Dispatch of callers' requests."""
+
+import threading
+from collections.abc import Callable
+
+from fescueflow.admission import AdmissionService
+from fescueflow.audit import AuditKind, AuditTrail
+from fescueflow.configuration import ConfigurationStore
+from fescueflow.core import Clock, NotReady, Outcome, RequestError
+from fescueflow.delivery.attempts import Attempt, UpstreamClient
+from fescueflow.delivery.budget import RetryBudget
+from fescueflow.delivery.calls import Answer, Call, ResolvedCall, resolve_call
+from fescueflow.delivery.executor import UpstreamExecutor
+from fescueflow.delivery.loop import StreamLoop
+from fescueflow.delivery.retries import Delivery, DeliveryTools
+from fescueflow.delivery.slots import SlotFinder
+from fescueflow.delivery.streams import EVENT_STREAM, StreamBody
+from fescueflow.delivery.transfers import PrefixTransfers
+from fescueflow.invariants import Invariants
+from fescueflow.membership import ListService
+from fescueflow.metrics import Metrics
+from fescueflow.placement import PlacementService
+from fescueflow.requests import RequestId, RequestService
+from fescueflow.schema import Header, Settings, SlotOutcome, SubmitRequest
+from fescueflow.transport import Network
+
+AUDIT_KINDS = {
+    Outcome.RAN: AuditKind.REQUEST_RAN,
+    Outcome.NOT_RUN: AuditKind.REQUEST_REFUSED,
+    Outcome.UNKNOWN: AuditKind.REQUEST_UNKNOWN,
+}
+
+
+def make_executor(
+    *,
+    settings: Settings,
+    store: ConfigurationStore,
+    placement: PlacementService,
+    admission: AdmissionService,
+    network: Network,
+    clock: Clock,
+    metrics: Metrics,
+    invariants: Invariants,
+    transfers: PrefixTransfers | None = None,
+) -> UpstreamExecutor:
+    """Return the executor that the request service needs.
+
+    It is made before the request service, and the dispatcher after it.
+    """
+    client = UpstreamClient(
+        settings=settings,
+        network=network,
+        placement=placement,
+        clock=clock,
+        metrics=metrics,
+        invariants=invariants,
+        transfers=transfers,
+    )
+    finder = SlotFinder(placement=placement, admission=admission, clock=clock)
+    return UpstreamExecutor(
+        store=store, placement=placement, finder=finder, client=client, clock=clock
+    )
+
+
+class Dispatcher:
+    """Sends calls to upstreams, or to the owner of their request id.
+
+    Parameters
+    ----------
+    settings : Settings
+    store : ConfigurationStore
+    list_service : ListService
+    placement : PlacementService
+    admission : AdmissionService
+    requests : RequestService
+    network : Network
+    clock : Clock
+    metrics : Metrics
+    audit : AuditTrail
+    invariants : Invariants
+    loop : StreamLoop, optional
+        Reads the streams of all calls.
+    transfers : PrefixTransfers, optional
+        Without it no prefix is imported.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        store: ConfigurationStore,
+        list_service: ListService,
+        placement: PlacementService,
+        admission: AdmissionService,
+        requests: RequestService,
+        network: Network,
+        clock: Clock,
+        metrics: Metrics,
+        audit: AuditTrail,
+        invariants: Invariants,
+        loop: StreamLoop | None = None,
+        transfers: PrefixTransfers | None = None,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._placement = placement
+        self._requests = requests
+        self._clock = clock
+        self._metrics = metrics
+        self._audit = audit
+        self._lock = threading.Lock()
+        self._running = 0
+        self._client = UpstreamClient(
+            settings=settings,
+            network=network,
+            placement=placement,
+            clock=clock,
+            metrics=metrics,
+            invariants=invariants,
+            transfers=transfers,
+        )
+        self._tools = DeliveryTools(
+            finder=SlotFinder(placement=placement, admission=admission, clock=clock),
+            client=self._client,
+            budget=RetryBudget(settings.retry_budget_percent, clock),
+            clock=clock,
+            metrics=metrics,
+            loop=loop or StreamLoop(clock, metrics),
+        )
+
+    def stop(self) -> None:
+        """End the loop of the streams; a stream goes on in its own task."""
+        self._tools.loop.stop()
+
+    def has_failed(self) -> bool:
+        """Return whether the loop of the streams has ended by an error."""
+        return self._tools.loop.has_failed()
+
+    def count_running(self) -> int:
+        """Return the number of requests in progress, those of other instances too."""
+        with self._lock:
+            return self._running + self._requests.count_running()
+
+    def count_calls(self) -> int:
+        """Return the number of this instance's own callers' requests in progress."""
+        with self._lock:
+            return self._running
+
+    def dispatch(self, call: Call) -> Answer:
+        """Return the answer to a call.
+
+        Parameters
+        ----------
+        call : Call
+            ``assigned_id`` is set, also when an error is raised.
+
+        Returns
+        -------
+        Answer
+            A streamed body must be closed.
+
+        Raises
+        ------
+        RequestError
+        """
+        with self._lock:
+            self._running += 1
+        try:
+            answer = self._route(call)
+        except BaseException:
+            self._leave()
+            raise
+        if isinstance(answer.body, bytes):
+            self._leave()
+        return answer
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._running -= 1
+
+    def _route(self, call: Call) -> Answer:
+        started = self._clock.monotonic()
+        try:
+            resolved = self._resolve(call)
+            # Whoever names an id may repeat it at any instance, and instances may
+            # differ about the class while a change of it spreads: an id runs at
+            # its owner only, whatever the class.
+            is_owned = call.request_id is not None or not resolved.idempotent
+            key = RequestId(call.request_id or "") if is_owned else None
+            key = key or self._requests.mint(1)[0]
+            call.assigned_id = call.request_id or key
+        except RequestError as error:
+            if call.request_id is not None:
+                # Another attempt with this id may have run; only its owner knows.
+                error.outcome = Outcome.UNKNOWN
+            self._record(call, "unresolved", None, error.outcome, error, started)
+            raise
+        deadline_ms = call.deadline_ms or self._settings.request_deadline_ms
+        if is_owned:
+            return self._submit(call, key, deadline_ms)
+        deadline = started + deadline_ms / 1000
+        return self._deliver(call, Delivery(self._tools, resolved, key, deadline))
+
+    def _resolve(self, call: Call) -> ResolvedCall:
+        configuration = self._store.get()
+        if configuration is None:
+            raise NotReady("no configuration is in force")
+        if call.request_id is not None:
+            self._requests.parse(call.request_id)
+        return resolve_call(configuration, self._placement, call)
+
+    def _submit(self, call: Call, request_id: str, deadline_ms: int) -> Answer:
+        answer = self._requests.submit(
+            SubmitRequest(
+                request_id=request_id,
+                customer=call.customer,
+                method=call.method,
+                path=call.path,
+                headers=[Header(name, value) for name, value in call.headers],
+                body=call.body,
+                deadline_ms=deadline_ms,
+            )
+        )
+        headers = [(header.name, header.value) for header in answer.headers]
+        return Answer(answer.status, headers, answer.body)
+
+    def _deliver(self, call: Call, delivery: Delivery) -> Answer:
+        started = self._clock.monotonic()
+        self._tools.budget.add_request()
+        try:
+            attempt = delivery.start()
+            if self._is_stream(delivery, attempt):
+                return self._relay(call, delivery, attempt, started)
+            attempt, content = delivery.fetch(attempt)
+        except RequestError as error:
+            delivery.qualify(error)
+            self._record_delivery(call, delivery, error, started)
+            raise
+        self._record_delivery(call, delivery, None, started)
+        headers = self._client.select_headers(delivery.call, attempt)
+        return Answer(attempt.get_exchange().status, headers, content)
+
+    def _is_stream(self, delivery: Delivery, attempt: Attempt) -> bool:
+        exchange = attempt.get_exchange()
+        is_stream = exchange.get_header("Content-Type").startswith(EVENT_STREAM)
+        return delivery.call.streamed and exchange.status == 200 and is_stream
+
+    def _relay(
+        self, call: Call, delivery: Delivery, attempt: Attempt, started: float
+    ) -> Answer:
+        try:
+            headers = self._client.select_headers(delivery.call, attempt)
+        except BaseException:
+            attempt.finish(SlotOutcome.UNUSED)
+            raise
+        finish = self._make_finisher(call, delivery, started)
+        body = StreamBody(delivery, attempt, started, finish)
+        return Answer(attempt.get_exchange().status, headers, body)
+
+    def _make_finisher(
+        self, call: Call, delivery: Delivery, started: float
+    ) -> Callable[[RequestError | None], None]:
+        def finish(error: RequestError | None) -> None:
+            try:
+                self._record_delivery(call, delivery, error, started)
+            finally:
+                self._leave()
+
+        return finish
+
+    def _record_delivery(
+        self, call: Call, delivery: Delivery, error: RequestError | None, started: float
+    ) -> None:
+        outcome = error.outcome if error else Outcome.RAN
+        upstream = delivery.upstream
+        self._record(call, "idempotent", upstream, outcome, error, started)
+
+    def _record(
+        self,
+        call: Call,
+        request_class: str,
+        upstream: str | None,
+        outcome: Outcome,
+        error: RequestError | None,
+        started: float,
+    ) -> None:
+        duration_s = self._clock.monotonic() - started
+        self._metrics.count("requests", outcome=outcome.value, kind=request_class)
+        self._metrics.observe("request_duration", duration_s, kind=request_class)
+        self._audit.record(
+            AUDIT_KINDS[outcome],
+            customer=call.customer,
+            request_id=call.assigned_id or call.request_id,
+            request_class=request_class,
+            upstream=upstream,
+            outcome=outcome.value,
+            error=error.type if error else None,
+            duration_ms=round(duration_s * 1000, 3),
+        )
+
+
+__all__ = ["Dispatcher", "make_executor"]
--- /dev/null
+++ b/src/fescueflow/invariants/__init__.py
@@ -0,0 +1,5 @@
+"""Run-time invariants."""
+
+from fescueflow.invariants.checks import Invariant, InvariantBreach, Invariants
+
+__all__ = ["Invariant", "InvariantBreach", "Invariants"]
--- /dev/null
+++ b/src/fescueflow/membership/__init__.py
@@ -0,0 +1,20 @@
+"""Membership of one instance: list view, heartbeats and pause detection."""
+
+from fescueflow.membership.lists import ListService, ReadingSchedule
+from fescueflow.membership.members import ADOPTED_MAX, Member
+from fescueflow.membership.pauses import PauseDetector
+from fescueflow.membership.readers import choose_readers, list_zone_peers
+from fescueflow.membership.readings import ListRelay
+from fescueflow.membership.service import MembershipService
+
+__all__ = [
+    "ADOPTED_MAX",
+    "ListRelay",
+    "ListService",
+    "Member",
+    "MembershipService",
+    "PauseDetector",
+    "ReadingSchedule",
+    "choose_readers",
+    "list_zone_peers",
+]
--- /dev/null
+++ b/src/fescueflow/membership/lists.py
@@ -0,0 +1,196 @@
+"""The instance list as this instance last read it or learned it."""
+
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import logbook
+
+from fescueflow.core import Clock, PlatformUnavailable, Randomness, UpstreamId
+from fescueflow.metrics import Metrics
+from fescueflow.platform import (
+    InstanceListClient,
+    ListedUpstream,
+    ListSnapshot,
+    MalformedAnswer,
+)
+from fescueflow.settings import Settings
+from fescueflow.transport import Task
+
+READABLE_INTERVALS = 3
+# Spreads the readings of a fleet whose instances started together.
+JITTER = 0.2
+# An instance that learns readings from others looks this often in each interval
+# whether it has to read by itself.
+CHECKS_PER_INTERVAL = 4
+
+log = logbook.Logger("membership")
+
+
+class ReadingSchedule(ABC):
+    """Decides when an instance reads the list by itself."""
+
+    @abstractmethod
+    def is_due(self) -> bool:
+        """Return whether this instance reads the list now."""
+
+    @abstractmethod
+    def note_own(self, snapshot: ListSnapshot) -> None:
+        """Take notice of a reading that this instance made."""
+
+
+class ListService:
+    """Reads the instance list and keeps the last snapshot when it can't be read.
+
+    Snapshots come from own readings and from those of other instances; an older
+    one never replaces a newer one.
+
+    Parameters
+    ----------
+    client : InstanceListClient
+    settings : Settings
+    clock : Clock
+    randomness : Randomness
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        *,
+        client: InstanceListClient,
+        settings: Settings,
+        clock: Clock,
+        randomness: Randomness,
+        metrics: Metrics,
+    ) -> None:
+        self._client = client
+        self._interval_s = settings.list_interval_ms / 1000
+        self._clock = clock
+        self._randomness = randomness
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        # Serialises callbacks: own readings and relayed ones come from two tasks.
+        self._delivering = threading.RLock()
+        self._schedule: ReadingSchedule | None = None
+        self._snapshot: ListSnapshot | None = None
+        self._upstreams: dict[UpstreamId, ListedUpstream] = {}
+        self._callbacks: list[Callable[[ListSnapshot], None]] = []
+        self._last_failure: str | None = None
+        self._task = Task("list", self._run)
+
+    def start(self) -> None:
+        """Start reading."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop reading."""
+        self._task.stop()
+
+    def set_schedule(self, schedule: ReadingSchedule) -> None:
+        """Set who decides when to read; without one, each interval reads."""
+        self._schedule = schedule
+
+    def get_snapshot(self) -> ListSnapshot | None:
+        """Return the last snapshot, ``None`` before the first one."""
+        return self._snapshot
+
+    def is_readable(self) -> bool:
+        """Return whether the list was read within the last 3 intervals."""
+        snapshot = self._snapshot
+        if snapshot is None:
+            return False
+        age_s = self._clock.monotonic() - snapshot.read_at
+        return age_s <= READABLE_INTERVALS * self._interval_s
+
+    def subscribe(self, callback: Callable[[ListSnapshot], None]) -> None:
+        """Call a function after each newer reading, changed or not."""
+        with self._lock:
+            self._callbacks.append(callback)
+
+    def get_upstream(self, upstream: UpstreamId) -> ListedUpstream | None:
+        """Return a listed upstream."""
+        return self._upstreams.get(upstream)
+
+    def refresh(self) -> bool:
+        """Read the list once; called by the service's own task.
+
+        Returns
+        -------
+        bool
+            Whether the list was read.
+        """
+        try:
+            snapshot = self._client.read()
+        except MalformedAnswer as error:
+            return self._note_failure("malformed", error)
+        except PlatformUnavailable as error:
+            return self._note_failure("unavailable", error)
+        self._metrics.count("list_readings", result="read")
+        if self._last_failure is not None:
+            log.info("instance list is readable again")
+            self._last_failure = None
+        self.take(snapshot)
+        if self._schedule is not None:
+            self._schedule.note_own(snapshot)
+        return True
+
+    def take(self, snapshot: ListSnapshot) -> bool:
+        """Take over a reading of this or another instance.
+
+        Parameters
+        ----------
+        snapshot : ListSnapshot
+            ``read_at`` is not later than when the platform was asked, on the
+            clock of this instance.
+
+        Returns
+        -------
+        bool
+            Whether it is not older than the last one.
+        """
+        with self._delivering:
+            last = self._snapshot
+            if last is not None and snapshot.read_at < last.read_at:
+                self._metrics.count("list_readings", result="older")
+                return False
+            if last is None or snapshot.upstreams is not last.upstreams:
+                self._upstreams = {item.id: item for item in snapshot.upstreams}
+            self._snapshot = snapshot
+            with self._lock:
+                callbacks = list(self._callbacks)
+            for callback in callbacks:
+                try:
+                    callback(snapshot)
+                except Exception as error:
+                    self._metrics.count("callback_errors", source="list")
+                    log.error("subscriber of the instance list failed: {!r}", error)
+        return True
+
+    def _note_failure(self, result: str, error: Exception) -> bool:
+        self._metrics.count("list_readings", result=result)
+        if self._last_failure != result:
+            log.warning("instance list is {}: {}", result, error)
+            self._last_failure = result
+        return False
+
+    def step(self) -> float:
+        """Read the list if it is due; return the seconds until the next step."""
+        is_due = self._schedule is None or self._schedule.is_due()
+        if is_due:
+            self.refresh()
+        factor = self._randomness.uniform(1 - JITTER, 1 + JITTER)
+        parts = 1 if is_due else CHECKS_PER_INTERVAL
+        return self._interval_s * factor / parts
+
+    def _run(self, stopping: threading.Event) -> None:
+        while not stopping.is_set():
+            delay_s = self._interval_s
+            try:
+                delay_s = self.step()
+            except Exception as error:
+                self._metrics.count("list_readings", result="failed")
+                log.error("reading the instance list failed: {!r}", error)
+            self._clock.wait(stopping, delay_s)
+
+
+__all__ = ["ListService", "ReadingSchedule"]
--- /dev/null
+++ b/src/fescueflow/membership/members.py
@@ -0,0 +1,133 @@
+"""Members and their records in datagrams."""
+
+from dataclasses import dataclass, replace
+
+from fescueflow.core import Incarnation, InstanceId, RegionId, Revision, ZoneId
+from fescueflow.schema import AdoptedOwner, MemberRecord, MemberState
+from fescueflow.settings import Settings
+from fescueflow.transport import parse_address
+
+# Bounds the size of a record; a handover chain of 16 within the lifetime of
+# request ids (10 minutes by default) is not expected.
+ADOPTED_MAX = 16
+NAME_CHARACTERS_MAX = 64
+# Leaves room in a datagram of 1,400 bytes for records of other members.
+OWN_BYTES_MAX = 1000
+WORD_BYTES = 8
+# Packing stores a word of 8 nonzero bytes in 10 bytes at worst.
+PACKED_WORD_BYTES_MAX = 10
+RECORD_WORDS = 10
+ADOPTED_WORDS = 2
+
+
+@dataclass(frozen=True)
+class Member:
+    """An instance as this instance knows it.
+
+    ``sequence`` grows with each heartbeat interval of the member.
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
+    sequence: int
+    state: MemberState
+    zone: ZoneId
+    region: RegionId
+    http_address: str
+    peer_address: str
+    revision: Revision
+    adopted: tuple[tuple[InstanceId, Incarnation], ...]
+    list_readable: bool
+
+    def to_record(self) -> MemberRecord:
+        """Return the wire record."""
+        return MemberRecord(
+            self.instance,
+            self.incarnation,
+            self.sequence,
+            self.state,
+            self.zone,
+            self.region,
+            self.http_address,
+            self.peer_address,
+            self.revision,
+            [AdoptedOwner(name, number) for name, number in self.adopted],
+            self.list_readable,
+        )
+
+
+def make_own(settings: Settings, incarnation: Incarnation) -> Member:
+    """Return the first record of this instance."""
+    return Member(
+        InstanceId(settings.instance_id),
+        incarnation,
+        1,
+        MemberState.STARTING,
+        ZoneId(settings.availability_zone),
+        RegionId(settings.region),
+        settings.http_address,
+        settings.peer_address,
+        Revision(0),
+        (),
+        False,
+    )
+
+
+def read_record(record: MemberRecord) -> Member:
+    """Return the member that a record describes.
+
+    Raises
+    ------
+    ValueError
+        If a name or address is not valid.
+    """
+    for name in (record.instance, record.zone, record.region):
+        if not 0 < len(name) <= NAME_CHARACTERS_MAX:
+            raise ValueError(f"{name!r} is not a name of 1 to 64 characters")
+    parse_address(record.http_address)
+    parse_address(record.peer_address)
+    adopted = record.adopted[-ADOPTED_MAX:]
+    return Member(
+        InstanceId(record.instance),
+        Incarnation(record.incarnation),
+        record.sequence,
+        record.state,
+        ZoneId(record.zone),
+        RegionId(record.region),
+        record.http_address,
+        record.peer_address,
+        Revision(record.revision),
+        tuple((InstanceId(a.instance), Incarnation(a.incarnation)) for a in adopted),
+        record.list_readable,
+    )
+
+
+def add_adopted(member: Member, instance: InstanceId, number: Incarnation) -> Member:
+    """Return the member with one more adopted incarnation.
+
+    The 16 newest are kept, fewer if instance names are very long.
+    """
+    entry = (instance, number)
+    kept = tuple(item for item in member.adopted if item != entry)
+    member = replace(member, adopted=(*kept, entry)[-ADOPTED_MAX:])
+    while estimate_size(member) > OWN_BYTES_MAX:
+        member = replace(member, adopted=member.adopted[1:])
+    return member
+
+
+def count_text_words(text: str) -> int:
+    """Return the words that a text takes, with its final zero byte."""
+    return len(text.encode()) // WORD_BYTES + 1
+
+
+def estimate_size(member: Member) -> int:
+    """Return an upper bound of the packed bytes of a member's record."""
+    texts = [member.instance, member.zone, member.region]
+    texts += [member.http_address, member.peer_address]
+    texts += [name for name, _ in member.adopted]
+    words = RECORD_WORDS + sum(map(count_text_words, texts))
+    words += 1 + ADOPTED_WORDS * len(member.adopted)
+    return words * PACKED_WORD_BYTES_MAX
+
+
+__all__ = ["ADOPTED_MAX", "Member", "add_adopted", "estimate_size", "read_record"]
--- /dev/null
+++ b/src/fescueflow/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters, gauges and histograms."""
+
+from fescueflow.metrics.registry import Metrics
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/src/fescueflow/platform/records.py
@@ -0,0 +1,169 @@
+"""The platform's list of instances and upstreams, and its JSON format."""
+
+import json
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from fescueflow.core import (
+    GroupId,
+    InstanceId,
+    ListState,
+    PlatformUnavailable,
+    RegionId,
+    UpstreamId,
+    ZoneId,
+)
+from fescueflow.settings import split_address
+
+# Bounds the size of member records in datagrams.
+NAME_PATTERN = re.compile(r"[!-~]{1,64}")
+INSTANCE_FIELDS = ("id", "zone", "region", "http_address", "peer_address", "state")
+UPSTREAM_FIELDS = ("id", "group", "zone", "region", "address", "state")
+
+
+class MalformedAnswer(PlatformUnavailable):
+    """The platform answered, with something that is not in its format."""
+
+
+@dataclass(frozen=True)
+class ListedInstance:
+    """An instance in the platform's list."""
+
+    id: InstanceId
+    zone: ZoneId
+    region: RegionId
+    http_address: str
+    peer_address: str
+    state: ListState
+
+
+@dataclass(frozen=True)
+class ListedUpstream:
+    """An upstream in the platform's list."""
+
+    id: UpstreamId
+    group: GroupId
+    zone: ZoneId
+    region: RegionId
+    address: str
+    state: ListState
+
+
+@dataclass(frozen=True)
+class ListSnapshot:
+    """One reading of the list.
+
+    ``read_at`` is the monotonic time at which the reading was requested.
+    """
+
+    instances: tuple[ListedInstance, ...]
+    upstreams: tuple[ListedUpstream, ...]
+    read_at: float
+
+
+def parse_list(body: bytes, read_at: float) -> ListSnapshot:
+    """Return the snapshot that a body holds; unknown extra fields are ignored.
+
+    Raises
+    ------
+    MalformedAnswer
+        If any entry is not valid; a part of a list is never used.
+    """
+    try:
+        document = json.loads(body, object_pairs_hook=build_object)
+        instances = parse_entries(document, "instances", INSTANCE_FIELDS)
+        upstreams = parse_entries(document, "upstreams", UPSTREAM_FIELDS)
+    except (ValueError, RecursionError) as error:
+        raise MalformedAnswer(f"instance list: {error}") from error
+    return ListSnapshot(
+        tuple(ListedInstance(**entry) for entry in instances),
+        tuple(ListedUpstream(**entry) for entry in upstreams),
+        read_at,
+    )
+
+
+def render_list(snapshot: ListSnapshot) -> bytes:
+    """Return the body of a snapshot, the same for every order of its entries."""
+    document = {
+        "instances": render_entries(snapshot.instances, INSTANCE_FIELDS),
+        "upstreams": render_entries(snapshot.upstreams, UPSTREAM_FIELDS),
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def render_entries(
+    items: Iterable[ListedInstance | ListedUpstream], fields: tuple[str, ...]
+) -> list[dict[str, str]]:
+    """Return the entries of one list of the document, ordered by id."""
+    rows = (
+        {field: getattr(item, field) for field in fields} | {"state": item.state.value}
+        for item in items
+    )
+    return sorted(rows, key=lambda row: row["id"])
+
+
+def build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return a JSON object; a repeated name is an error."""
+    built = dict(pairs)
+    if len(built) != len(pairs):
+        raise ValueError("an object has a name twice")
+    return built
+
+
+def parse_entries(
+    document: Any, name: str, fields: tuple[str, ...]
+) -> list[dict[str, Any]]:
+    """Return the checked entries of one list of the document.
+
+    Raises
+    ------
+    ValueError
+    """
+    entries = document.get(name) if isinstance(document, dict) else None
+    if not isinstance(entries, list):
+        raise ValueError(f"{name} is not a list")
+    parsed = [
+        parse_entry(entry, f"{name}[{index}]", fields)
+        for index, entry in enumerate(entries)
+    ]
+    if len({entry["id"] for entry in parsed}) != len(parsed):
+        raise ValueError(f"{name} has an id twice")
+    return parsed
+
+
+def parse_entry(entry: Any, place: str, fields: tuple[str, ...]) -> dict[str, Any]:
+    """Return the checked fields of one entry.
+
+    Raises
+    ------
+    ValueError
+    """
+    if not isinstance(entry, dict):
+        raise ValueError(f"{place} is not an object")
+    parsed: dict[str, Any] = {}
+    for field in fields:
+        value = entry.get(field)
+        if not isinstance(value, str):
+            raise ValueError(f"{place}.{field} is not a string")
+        if field == "state":
+            parsed[field] = ListState(value)
+        elif field.endswith("address"):
+            split_address(value)
+            parsed[field] = value
+        elif NAME_PATTERN.fullmatch(value):
+            parsed[field] = value
+        else:
+            raise ValueError(f"{place}.{field} is not a name of 1 to 64 characters")
+    return parsed
+
+
+__all__ = [
+    "ListSnapshot",
+    "ListedInstance",
+    "ListedUpstream",
+    "MalformedAnswer",
+    "parse_list",
+    "render_list",
+]
--- /dev/null
+++ b/src/fescueflow/requests/errors.py
@@ -0,0 +1,86 @@
+"""Errors as JSON, and as answers between instances."""
+
+import json
+from typing import Any
+
+from fescueflow import core
+from fescueflow.core import Outcome, OutcomeUnknown, RequestError
+from fescueflow.schema import Header, SubmitAnswer
+
+ERROR_HEADER = "Fescueflow-Error"
+
+
+class AnswerNotKept(RequestError):
+    """The request ran, but its answer was too large to be kept for repeats."""
+
+    status = 410
+    type = "answer_not_kept"
+    default_outcome = Outcome.RAN
+
+
+def find_error_types() -> dict[str, type[RequestError]]:
+    """Return the error classes that instances exchange, by their type."""
+    known = [getattr(core.errors, name) for name in core.errors.__all__]
+    classes = [c for c in known if issubclass(c, RequestError)]
+    return {c.type: c for c in [*classes, AnswerNotKept]}
+
+
+ERROR_TYPES = find_error_types()
+
+
+def describe_error(error: RequestError) -> dict[str, Any]:
+    """Return an error as callers see it, ready for JSON."""
+    return {
+        "error": {
+            "type": error.type,
+            "message": error.message,
+            "outcome": error.outcome.value,
+            "retry_after_ms": error.retry_after_ms,
+            "address": error.address,
+        }
+    }
+
+
+def encode_error(error: RequestError) -> SubmitAnswer:
+    """Return an error as an answer to another instance."""
+    return SubmitAnswer(
+        status=error.status,
+        headers=[Header(ERROR_HEADER, error.type)],
+        body=json.dumps(describe_error(error)).encode(),
+    )
+
+
+def decode_error(answer: SubmitAnswer) -> RequestError | None:
+    """Return the error that an answer holds, ``None`` for an upstream's answer.
+
+    Notes
+    -----
+    An error that can't be read becomes ``OutcomeUnknown``, which is always true.
+    """
+    if not any(header.name == ERROR_HEADER for header in answer.headers):
+        return None
+    try:
+        fields = json.loads(answer.body)["error"]
+        return ERROR_TYPES[fields["type"]](
+            fields["message"],
+            Outcome(fields["outcome"]),
+            fields["retry_after_ms"],
+            fields["address"],
+        )
+    except (ValueError, KeyError, TypeError):
+        return OutcomeUnknown("the owner's error could not be read")
+
+
+def remove_error_header(answer: SubmitAnswer) -> SubmitAnswer:
+    """Return an upstream's answer without the header that marks errors."""
+    kept = [h for h in answer.headers if h.name.lower() != ERROR_HEADER.lower()]
+    return SubmitAnswer(status=answer.status, headers=kept, body=answer.body)
+
+
+__all__ = [
+    "AnswerNotKept",
+    "decode_error",
+    "describe_error",
+    "encode_error",
+    "remove_error_header",
+]
--- /dev/null
+++ b/src/fescueflow/requests/records.py
@@ -0,0 +1,257 @@
+"""Record of one non-idempotent request at its owner."""
+
+import hashlib
+import threading
+from enum import Enum
+
+from fescueflow.core import (
+    Moved,
+    Outcome,
+    OutcomeUnknown,
+    RequestError,
+    UpstreamId,
+)
+from fescueflow.invariants import Invariant, Invariants
+from fescueflow.requests.errors import AnswerNotKept, decode_error, encode_error
+from fescueflow.requests.identifiers import RequestId
+from fescueflow.schema import OwnedRecord, SubmitAnswer, SubmitRequest
+
+KEPT_BYTES_MAX = 65536
+KEPT_HEADERS_MAX = 100
+
+
+class RecordState(Enum):
+    """How far a request has come."""
+
+    RESERVED = 0
+    SENT = 1
+    FINISHED = 2
+    REFUSED = 3
+    UNKNOWN = 4
+
+
+NOT_KEPT_CODE = 5
+TRANSITIONS = {
+    RecordState.RESERVED: {RecordState.SENT, RecordState.REFUSED},
+    RecordState.SENT: {RecordState.FINISHED, RecordState.UNKNOWN},
+}
+
+
+def digest_request(request: SubmitRequest) -> bytes:
+    """Return the SHA-256 of what makes a request the same request."""
+    digest = hashlib.sha256()
+    for part in (request.customer, request.method, request.path):
+        data = part.encode("utf-8", "surrogateescape")
+        digest.update(len(data).to_bytes(8, "big") + data)
+    digest.update(request.body)
+    return digest.digest()
+
+
+def is_small(answer: SubmitAnswer) -> bool:
+    """Return whether an answer is kept for repeats."""
+    size = len(answer.body) + sum(len(h.name) + len(h.value) for h in answer.headers)
+    return size <= KEPT_BYTES_MAX and len(answer.headers) <= KEPT_HEADERS_MAX
+
+
+class RequestRecord:
+    """Record of one request.
+
+    Parameters
+    ----------
+    request_id : RequestId
+    sequence : int
+    digest : bytes
+    expires_at : float
+    lock : threading.RLock
+        The table's lock.
+    invariants : Invariants
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: RequestId,
+        sequence: int,
+        digest: bytes,
+        expires_at: float,
+        lock: threading.RLock,
+        invariants: Invariants,
+    ) -> None:
+        self.request_id = request_id
+        self.sequence = sequence
+        self.digest = digest
+        self.expires_at = expires_at
+        self.upstream: UpstreamId | None = None
+        self.done = threading.Event()
+        self._lock = lock
+        self._invariants = invariants
+        self._state = RecordState.RESERVED
+        self._answer: SubmitAnswer | None = None
+        self._waiters = 0
+
+    def get_state(self) -> RecordState:
+        """Return the state."""
+        with self._lock:
+            return self._state
+
+    def mark_sent(self) -> None:
+        """Record that the first byte is about to be written.
+
+        Raises
+        ------
+        RequestError
+            If the request must not be sent: it was refused meanwhile, or it was
+            already sent once.
+        """
+        with self._lock:
+            if self._state is RecordState.REFUSED:
+                raise Moved("the instance is leaving", Outcome.NOT_RUN)
+            if self._state is not RecordState.RESERVED:
+                self._check_transition(RecordState.SENT)
+                raise OutcomeUnknown("the request was already sent once")
+            self._move(RecordState.SENT)
+
+    def finish(self, answer: SubmitAnswer) -> None:
+        """Keep the answer; a large one is kept only until no repeat waits."""
+        with self._lock:
+            self._answer = answer
+            try:
+                self._move(RecordState.FINISHED)
+            finally:
+                self._trim()
+                self.done.set()
+
+    def settle(self, error: RequestError) -> RequestError:
+        """Record a failure and return the error that is true for callers.
+
+        Parameters
+        ----------
+        error : RequestError
+
+        Returns
+        -------
+        RequestError
+            With ``not_run`` if nothing was sent and nothing ever will be, else
+            with ``outcome_unknown``.
+        """
+        with self._lock:
+            if self._state is RecordState.RESERVED:
+                error.outcome = Outcome.NOT_RUN
+                self._answer = encode_error(error)
+                self._move(RecordState.REFUSED)
+            elif self._state is RecordState.REFUSED:
+                error = self._read_refusal()
+            else:
+                error.outcome = Outcome.UNKNOWN
+                if self._state is RecordState.SENT:
+                    self._move(RecordState.UNKNOWN)
+            self.done.set()
+            return error
+
+    def join(self) -> None:
+        """Announce that a repeat waits for the answer."""
+        with self._lock:
+            self._waiters += 1
+
+    def leave(self) -> None:
+        """End the wait of a repeat."""
+        with self._lock:
+            self._waiters -= 1
+            self._trim()
+
+    def read_answer(self, digest: bytes) -> SubmitAnswer:
+        """Return the answer of a finished request to a repeat.
+
+        Raises
+        ------
+        RequestError
+            If the request was refused, its outcome is unknown, or its answer was
+            not kept.
+        """
+        with self._lock:
+            self._invariants.check(
+                Invariant.ANSWER_MATCHES_REQUEST,
+                digest == self.digest,
+                request_id=self.request_id,
+            )
+            if self._state is RecordState.REFUSED:
+                raise self._read_refusal()
+            if self._state is not RecordState.FINISHED:
+                raise OutcomeUnknown("the request may or may not have run")
+            if self._answer is None:
+                raise AnswerNotKept("the request ran; its answer was not kept")
+            return self._answer
+
+    def export(self) -> OwnedRecord:
+        """Return the record for a successor and close it.
+
+        Notes
+        -----
+        A request that was not sent is refused first, so that it can't be sent
+        by this instance while the successor answers for it.
+        """
+        with self._lock:
+            if self._state is RecordState.RESERVED:
+                self.settle(Moved("the instance is leaving"))
+            code = self._state.value
+            if self._state is RecordState.SENT:
+                code = RecordState.UNKNOWN.value
+            kept = self._answer if self._answer and is_small(self._answer) else None
+            if self._state is RecordState.FINISHED and kept is None:
+                code = NOT_KEPT_CODE
+            answer = kept or SubmitAnswer()
+            return OwnedRecord(
+                sequence=self.sequence,
+                state=code,
+                body_digest=self.digest,
+                status=answer.status,
+                headers=answer.headers,
+                body=answer.body,
+            )
+
+    def restore(self, owned: OwnedRecord) -> None:
+        """Take over the end state of a record of another owner."""
+        with self._lock:
+            self._state = RecordState.UNKNOWN
+            answer = SubmitAnswer(owned.status, owned.headers, owned.body)
+            if owned.state == RecordState.REFUSED.value:
+                self._state, self._answer = RecordState.REFUSED, answer
+            elif owned.state == RecordState.FINISHED.value:
+                self._state, self._answer = RecordState.FINISHED, answer
+            elif owned.state == NOT_KEPT_CODE:
+                self._state = RecordState.FINISHED
+            self.done.set()
+
+    def _read_refusal(self) -> RequestError:
+        error = decode_error(self._answer) if self._answer else None
+        error = error or OutcomeUnknown("the refusal could not be read")
+        self._invariants.check(
+            Invariant.NOT_RUN_AFTER_TOMBSTONE,
+            self._state is RecordState.REFUSED,
+            request_id=self.request_id,
+        )
+        return error
+
+    def _trim(self) -> None:
+        if self._state is not RecordState.FINISHED or self._answer is None:
+            return
+        if not self._waiters and not is_small(self._answer):
+            self._answer = None
+
+    def _check_transition(self, state: RecordState) -> None:
+        self._invariants.check(
+            Invariant.RECORD_TRANSITION,
+            state in TRANSITIONS.get(self._state, set()),
+            request_id=self.request_id,
+            before=self._state.name,
+            after=state.name,
+        )
+
+    def _move(self, state: RecordState) -> None:
+        try:
+            self._check_transition(state)
+        finally:
+            self._state = state
+
+
+__all__ = ["RecordState", "RequestRecord", "digest_request"]
--- /dev/null
+++ b/src/fescueflow/rights/__init__.py
@@ -0,0 +1,31 @@
+"""Rights of one instance: shares of upstream limits, homes and leases."""
+
+from fescueflow.rights.fence import Fence
+from fescueflow.rights.holdings import ShareTable
+from fescueflow.rights.homes import HomeMap
+from fescueflow.rights.leases import LeaseBook
+from fescueflow.rights.lending import LendingBook
+from fescueflow.rights.panels import BUCKETS_PER_SHARE
+from fescueflow.rights.service import RightsService
+from fescueflow.rights.shares import (
+    SHARE_COUNT,
+    START_WITHIN_MAX_S,
+    LeasedShares,
+    ShareLease,
+    count_slots,
+)
+
+__all__ = [
+    "BUCKETS_PER_SHARE",
+    "SHARE_COUNT",
+    "START_WITHIN_MAX_S",
+    "Fence",
+    "HomeMap",
+    "LeaseBook",
+    "LeasedShares",
+    "LendingBook",
+    "RightsService",
+    "ShareLease",
+    "ShareTable",
+    "count_slots",
+]
--- /dev/null
+++ b/src/fescueflow/rights/holdings.py
@@ -0,0 +1,321 @@
+"""Which shares this instance holds, from its own readings of the list."""
+
+import threading
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from fescueflow.core import (
+    InstanceId,
+    ListState,
+    UpstreamId,
+    UpstreamRef,
+    hash_upstream,
+    score_candidate,
+)
+from fescueflow.platform import ListedInstance, ListedUpstream, ListSnapshot
+from fescueflow.rights.panels import (
+    Panel,
+    Scope,
+    choose_panel,
+    get_scope,
+    make_share_key,
+)
+from fescueflow.rights.shares import SHARE_COUNT
+
+Top = tuple[int, InstanceId]
+
+
+def find_top(key: str, instances: Iterable[InstanceId]) -> Top | None:
+    """Return the highest score for a key and the instance that has it."""
+    return max(((score_candidate(key, i), i) for i in instances), default=None)
+
+
+@dataclass
+class ShareRecord:
+    """Top instance of one share and, if that is this one, since when."""
+
+    key: str
+    top: Top | None
+    won_since: float | None = None
+    held: bool = False
+
+
+@dataclass(frozen=True)
+class PeerView:
+    """What the heartbeat view says about other instances at a reading.
+
+    ``readers`` read the list now; ``cut_off`` are alive but can't read it.
+    """
+
+    readers: frozenset[InstanceId] = field(default_factory=frozenset)
+    cut_off: frozenset[InstanceId] = field(default_factory=frozenset)
+
+
+@dataclass
+class ScopeRecord:
+    """Panel of a scope and the shares of its upstreams."""
+
+    scope: Scope
+    panel: Panel
+    names: dict[UpstreamRef, UpstreamId] = field(default_factory=dict)
+    shares: dict[UpstreamRef, list[ShareRecord]] = field(default_factory=dict)
+    tops: dict[str, Top | None] = field(default_factory=dict)
+    informed: set[InstanceId] = field(default_factory=set)
+    switched_at: float = float("-inf")
+    former: frozenset[InstanceId] = frozenset()
+
+    def change_panel(self, panel: Panel, now: float) -> None:
+        """Set another panel and find the top instances in it."""
+        if panel.in_zone != self.panel.in_zone:
+            # Shares move between instances that stay listed. Those that lent
+            # them may not have read that yet.
+            self.switched_at, self.former = now, self.former | self.panel.members
+            self.informed.clear()
+        self.panel = panel
+        self.tops.clear()
+        for ref, records in self.shares.items():
+            for share, record in enumerate(records):
+                record.key = self._make_key(ref, share)
+                record.top = self.get_top(record.key)
+
+    def add_upstream(self, upstream: UpstreamId) -> list[ShareRecord]:
+        """Add the shares of an upstream."""
+        ref = hash_upstream(upstream)
+        self.names[ref] = upstream
+        keys = (self._make_key(ref, share) for share in range(SHARE_COUNT))
+        self.shares[ref] = [ShareRecord(key, self.get_top(key)) for key in keys]
+        return self.shares[ref]
+
+    def remove_upstream(self, ref: UpstreamRef) -> None:
+        """Remove the shares of an upstream."""
+        del self.names[ref], self.shares[ref]
+
+    def _make_key(self, ref: UpstreamRef, share: int) -> str:
+        return make_share_key(self.scope, self.panel, self.names[ref], share)
+
+    def get_top(self, key: str) -> Top | None:
+        """Return the top instance of the panel for a key."""
+        if not self.panel.in_zone:
+            return find_top(key, self.panel.members)
+        if key not in self.tops:
+            self.tops[key] = find_top(key, self.panel.members)
+        return self.tops[key]
+
+    def iterate_records(self) -> Iterator[ShareRecord]:
+        """Yield the records of all shares."""
+        return (record for rows in self.shares.values() for record in rows)
+
+
+class ShareTable:
+    """Holders of all shares as of the latest reading.
+
+    An instance holds a share after it had the highest score in all of its
+    readings for the hold-down. Two additions keep an instance that can't read
+    the list from lending a share that a reader of the list gains:
+
+    - An instance of the panel, listed as live, that has not been seen reading
+      the list since this one was listed may still lend what it held before.
+      Nothing is gained until it was seen reading, or is no longer listed. The
+      same holds for the members of both panels when the panel changes between
+      zone and region, because then shares move without a change of their holder.
+    - An instance that the list dropped, but that still sends heartbeats without
+      being able to read the list, keeps its shares until either changes.
+
+    Parameters
+    ----------
+    own : InstanceId
+    hold_down_s : float
+    reading_gap_s : float
+        A longer gap between readings restarts pending hold-downs, because a
+        change and its reversal may have gone unseen.
+    lag_s : float
+        Greatest lag of the list.
+    """
+
+    def __init__(
+        self, own: InstanceId, hold_down_s: float, reading_gap_s: float, lag_s: float
+    ) -> None:
+        self._own = own
+        self._hold_down_s = hold_down_s
+        self._reading_gap_s = reading_gap_s
+        self._informed_after_s = lag_s + reading_gap_s
+        self._lock = threading.Lock()
+        self._live: frozenset[InstanceId] = frozenset()
+        self._addresses: dict[InstanceId, str] = {}
+        self._instances: frozenset[ListedInstance] = frozenset()
+        self._upstreams: frozenset[ListedUpstream] = frozenset()
+        self._scopes: dict[Scope, ScopeRecord] = {}
+        self._shares: dict[UpstreamRef, list[ShareRecord]] = {}
+        self._stable_since: float | None = None
+        self._listed_since: float | None = None
+        self._read_at: float | None = None
+
+    def apply(self, snapshot: ListSnapshot, peers: PeerView) -> None:
+        """Take over a reading of the list."""
+        instances = frozenset(
+            i for i in snapshot.instances if i.state is ListState.LIVE
+        )
+        live = frozenset(i.id for i in instances)
+        with self._lock:
+            now = snapshot.read_at
+            if self._read_at is not None and now <= self._read_at:
+                return
+            gap = self._read_at is None or now - self._read_at > self._reading_gap_s
+            if gap or instances != self._instances:
+                self._stable_since = now
+            if gap:
+                self._restart_hold_downs(now)
+            self._addresses = {i.id: i.peer_address for i in snapshot.instances}
+            self._live = live
+            self._change_instances(instances, now)
+            self._change_upstreams(frozenset(snapshot.upstreams))
+            self._read_at = now
+            self._note_informed(live, peers, now)
+            for scope in self._scopes.values():
+                self._gain_shares(scope, live, peers, now)
+
+    def get_held(self, upstream: UpstreamRef) -> int:
+        """Return the bits of the shares that this instance holds."""
+        with self._lock:
+            records = self._shares.get(upstream, ())
+            return sum(1 << s for s, r in enumerate(records) if r.held)
+
+    def get_held_without(
+        self, upstream: UpstreamRef, unlisted: Iterable[InstanceId]
+    ) -> int:
+        """Return held shares that no unlisted live instance would win.
+
+        Parameters
+        ----------
+        upstream : UpstreamRef
+        unlisted : iterable of InstanceId
+            Live instances that the latest reading does not contain.
+        """
+        unlisted = list(unlisted)
+        with self._lock:
+            bits = 0
+            for share, record in enumerate(self._shares.get(upstream, ())):
+                if not record.held or record.top is None:
+                    continue
+                other = find_top(record.key, unlisted)
+                if other is None or other < record.top:
+                    bits |= 1 << share
+            return bits
+
+    def get_holders(self, upstream: UpstreamRef) -> Mapping[InstanceId, str]:
+        """Return the top instances of the shares with their addresses."""
+        with self._lock:
+            tops = {r.top[1] for r in self._shares.get(upstream, ()) if r.top}
+            return {i: self._addresses[i] for i in sorted(tops) if i in self._addresses}
+
+    def is_listed(self) -> bool:
+        """Return whether the latest reading contains this instance."""
+        with self._lock:
+            return self._own in self._addresses
+
+    def get_listed(self) -> frozenset[InstanceId]:
+        """Return the instances in the latest reading."""
+        with self._lock:
+            return frozenset(self._addresses)
+
+    def count_held(self) -> int:
+        """Return the number of held shares."""
+        with self._lock:
+            return sum(r.held for rows in self._shares.values() for r in rows)
+
+    def _restart_hold_downs(self, now: float) -> None:
+        for record in self._all_records():
+            if record.won_since is not None and not record.held:
+                record.won_since = now
+
+    def _all_records(self) -> Iterable[ShareRecord]:
+        return (record for rows in self._shares.values() for record in rows)
+
+    def _change_instances(
+        self, instances: frozenset[ListedInstance], now: float
+    ) -> None:
+        if instances == self._instances:
+            return
+        self._instances = instances
+        for scope, record in self._scopes.items():
+            panel = choose_panel(scope, instances)
+            if panel != record.panel:
+                record.change_panel(panel, now)
+                for share in record.iterate_records():
+                    self._mark_win(share, now)
+
+    def _mark_win(self, record: ShareRecord, since: float | None) -> None:
+        if record.top is None or record.top[1] != self._own:
+            record.won_since, record.held = None, False
+        elif record.won_since is None:
+            record.won_since = since
+
+    def _change_upstreams(self, upstreams: frozenset[ListedUpstream]) -> None:
+        if upstreams == self._upstreams:
+            return
+        wanted = {hash_upstream(u.id): u for u in upstreams}
+        for scope in list(self._scopes.values()):
+            for ref in list(scope.shares):
+                upstream = wanted.get(ref)
+                if upstream is None or self._find_scope(upstream) is not scope:
+                    scope.remove_upstream(ref)
+                    del self._shares[ref]
+        for ref, upstream in wanted.items():
+            if ref not in self._shares:
+                self._add_upstream(ref, upstream)
+        self._upstreams = upstreams
+
+    def _find_scope(self, upstream: ListedUpstream) -> ScopeRecord:
+        scope = get_scope(upstream)
+        if scope not in self._scopes:
+            panel = choose_panel(scope, self._instances)
+            self._scopes[scope] = ScopeRecord(scope, panel)
+        return self._scopes[scope]
+
+    def _add_upstream(self, ref: UpstreamRef, upstream: ListedUpstream) -> None:
+        scope = self._find_scope(upstream)
+        rows = self._shares[ref] = scope.add_upstream(upstream.id)
+        for record in rows:
+            # The score depends on the instances only, so the time before the
+            # upstream was listed counts towards the hold-down.
+            self._mark_win(record, self._stable_since)
+
+    def _note_informed(
+        self, live: frozenset[InstanceId], peers: PeerView, now: float
+    ) -> None:
+        if self._own not in live:
+            self._listed_since = None
+        elif self._listed_since is None:
+            self._listed_since = now
+        for scope in self._scopes.values():
+            if self._listed_since is None:
+                scope.informed.clear()
+                continue
+            scope.informed &= live
+            since = max(self._listed_since, scope.switched_at)
+            if now - since >= self._informed_after_s:
+                scope.informed |= live & peers.readers
+
+    def _gain_shares(
+        self,
+        scope: ScopeRecord,
+        live: frozenset[InstanceId],
+        peers: PeerView,
+        now: float,
+    ) -> None:
+        panel = scope.panel.members
+        lenders = (panel | scope.former) & live
+        if self._own not in panel or lenders - scope.informed - {self._own}:
+            return
+        scope.former = frozenset()
+        unlisted_peers = peers.cut_off - live
+        for record in scope.iterate_records():
+            if record.won_since is None or record.held or record.top is None:
+                continue
+            if now - record.won_since < self._hold_down_s:
+                continue
+            former = find_top(record.key, unlisted_peers)
+            record.held = former is None or former < record.top
+
+
+__all__ = ["PeerView", "ShareTable", "find_top"]
--- /dev/null
+++ b/src/fescueflow/rights/leases.py
@@ -0,0 +1,146 @@
+"""Leases that this instance obtained as home."""
+
+import threading
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from fescueflow.core import Incarnation, InstanceId, UpstreamRef
+from fescueflow.rights.shares import ShareLease, list_shares
+
+Holder = tuple[InstanceId, Incarnation]
+
+
+@dataclass(frozen=True)
+class PendingRequest:
+    """A lease request that was sent and not answered yet."""
+
+    holder: InstanceId
+    upstreams: tuple[UpstreamRef, ...]
+    sent_at: float
+
+
+@dataclass(frozen=True)
+class HeldLease:
+    """A lease with its holder."""
+
+    holder: Holder
+    lease: ShareLease
+
+
+class LeaseBook:
+    """Leases by upstream and share.
+
+    A lease is measured from before its request was sent, the holder measures
+    it from receipt: it never ends earlier at the holder than here.
+
+    Parameters
+    ----------
+    lease_s : float
+    first_sequence : int, optional
+        Differs between incarnations: a grant names its upstreams only by the
+        sequence of the request, and a late one may reach the next incarnation.
+    """
+
+    def __init__(self, lease_s: float, first_sequence: int = 0) -> None:
+        self._lease_s = lease_s
+        self._lock = threading.Lock()
+        self._sequence = first_sequence
+        self._pending: dict[int, PendingRequest] = {}
+        self._leases: dict[UpstreamRef, dict[int, HeldLease]] = {}
+
+    def open_request(
+        self, holder: InstanceId, upstreams: Iterable[UpstreamRef], now: float
+    ) -> int:
+        """Note a request that is about to be sent and return its sequence."""
+        with self._lock:
+            self._pending = {
+                k: p
+                for k, p in self._pending.items()
+                if now - p.sent_at < self._lease_s
+            }
+            self._sequence += 1
+            self._pending[self._sequence] = PendingRequest(
+                holder, tuple(upstreams), now
+            )
+            return self._sequence
+
+    def find_upstreams(
+        self, holder: InstanceId, sequence: int
+    ) -> tuple[UpstreamRef, ...]:
+        """Return the upstreams of an open request in its order, none without one."""
+        with self._lock:
+            request = self._pending.get(sequence)
+            known = request is not None and request.holder == holder
+            return request.upstreams if request and known else ()
+
+    def accept(
+        self,
+        holder: Holder,
+        sequence: int,
+        granted: Mapping[UpstreamRef, int],
+        now: float,
+    ) -> PendingRequest | None:
+        """Take over a grant; ``None`` if it answers no open request."""
+        with self._lock:
+            request = self._pending.get(sequence)
+            if request is None or request.holder != holder[0]:
+                return None
+            del self._pending[sequence]
+            expires_at = request.sent_at + self._lease_s
+            if expires_at <= now:
+                return request
+            for upstream, bits in granted.items():
+                if upstream in request.upstreams:
+                    self._extend(holder, upstream, bits, now, expires_at)
+            return request
+
+    def _extend(
+        self,
+        holder: Holder,
+        upstream: UpstreamRef,
+        bits: int,
+        now: float,
+        expires_at: float,
+    ) -> None:
+        rows = self._leases.setdefault(upstream, {})
+        for share in list_shares(bits):
+            current = rows.get(share)
+            acquired_at = now
+            if current and current.lease.expires_at > now:
+                expires_at_old = current.lease.expires_at
+                if current.holder == holder:
+                    acquired_at = current.lease.acquired_at
+                    expires_at = max(expires_at, expires_at_old)
+            rows[share] = HeldLease(holder, ShareLease(share, acquired_at, expires_at))
+
+    def get_leases(self, upstream: UpstreamRef, now: float) -> tuple[ShareLease, ...]:
+        """Return the leases of an upstream that are running."""
+        with self._lock:
+            rows = self._leases.get(upstream, {})
+            return tuple(
+                rows[s].lease for s in sorted(rows) if rows[s].lease.expires_at > now
+            )
+
+    def clear(self) -> dict[InstanceId, list[UpstreamRef]]:
+        """Drop all leases; return the upstreams by holder."""
+        with self._lock:
+            returned: dict[InstanceId, set[UpstreamRef]] = {}
+            for upstream, rows in self._leases.items():
+                for held in rows.values():
+                    returned.setdefault(held.holder[0], set()).add(upstream)
+            self._leases.clear()
+            self._pending.clear()
+            return {holder: sorted(refs) for holder, refs in returned.items()}
+
+    def drop_ended(self, now: float) -> None:
+        """Forget leases that ended."""
+        with self._lock:
+            for upstream, rows in list(self._leases.items()):
+                for share, held in list(rows.items()):
+                    if held.lease.expires_at <= now:
+                        del rows[share]
+                if not rows:
+                    del self._leases[upstream]
+
+
+__all__ = ["HeldLease", "Holder", "LeaseBook", "PendingRequest"]
--- /dev/null
+++ b/src/fescueflow/rights/lending.py
@@ -0,0 +1,130 @@
+"""Shares that this instance lends to homes."""
+
+import threading
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from fescueflow.core import Incarnation, InstanceId, UpstreamRef
+from fescueflow.rights.shares import list_shares
+
+Borrower = tuple[InstanceId, Incarnation]
+
+
+@dataclass(frozen=True)
+class Loan:
+    """Who borrows a share and until when it can't go to anyone else."""
+
+    borrower: Borrower
+    until: float
+
+
+class LendingBook:
+    """Record of lent shares.
+
+    A share is lent to one home incarnation at a time. Loans are remembered when
+    the share is lost and held again, because the borrower may still use it.
+
+    Parameters
+    ----------
+    lease_s : float
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self._lease_s = lease_s
+        self._lock = threading.Lock()
+        self._loans: dict[tuple[UpstreamRef, int], Loan] = {}
+        self._claims: dict[UpstreamRef, tuple[Borrower, float]] = {}
+
+    def lend(
+        self,
+        borrower: Borrower,
+        held: Mapping[UpstreamRef, int],
+        homes: Mapping[UpstreamRef, InstanceId | None],
+        now: float,
+    ) -> tuple[dict[UpstreamRef, int], list[Loan]]:
+        """Lend held shares that are free or already with the borrower.
+
+        Parameters
+        ----------
+        borrower : tuple of InstanceId and Incarnation
+        held : mapping of UpstreamRef to int
+            Bits of the shares that may be lent now.
+        homes : mapping of UpstreamRef to InstanceId or None
+            Home of each upstream in this instance's view. While the home in
+            this view asks, no other instance's lease is renewed, so that a
+            stale home does not keep the shares.
+        now : float
+            Time of receipt; the loans last for the lease duration from it.
+
+        Returns
+        -------
+        granted : dict of UpstreamRef to int
+        displaced : list of Loan
+            Running loans of others that were overwritten; always empty.
+        """
+        with self._lock:
+            granted: dict[UpstreamRef, int] = {}
+            displaced: list[Loan] = []
+            for upstream, bits in held.items():
+                if homes.get(upstream) == borrower[0]:
+                    self._claims[upstream] = (borrower, now)
+                elif self._is_claimed(upstream, borrower, now):
+                    granted[upstream] = 0
+                    continue
+                lent = self._find_free(borrower, upstream, bits, now)
+                granted[upstream] = lent
+                for share in list_shares(lent):
+                    former = self._loans.get((upstream, share))
+                    loan = Loan(borrower, now + self._lease_s)
+                    self._loans[upstream, share] = loan
+                    if former and former.until > now and former.borrower != borrower:
+                        displaced.append(former)
+            return granted, displaced
+
+    def _is_claimed(
+        self, upstream: UpstreamRef, borrower: Borrower, now: float
+    ) -> bool:
+        claim = self._claims.get(upstream)
+        return (
+            claim is not None
+            and claim[0] != borrower
+            and now - claim[1] < self._lease_s
+        )
+
+    def _find_free(
+        self, borrower: Borrower, upstream: UpstreamRef, bits: int, now: float
+    ) -> int:
+        free = 0
+        for share in list_shares(bits):
+            loan = self._loans.get((upstream, share))
+            if loan is None or loan.borrower == borrower or loan.until <= now:
+                free |= 1 << share
+        return free
+
+    def give_back(self, borrower: Borrower, upstreams: Iterable[UpstreamRef]) -> None:
+        """Free the shares that a home returns."""
+        returned = set(upstreams)
+        with self._lock:
+            for key, loan in list(self._loans.items()):
+                if key[0] in returned and loan.borrower == borrower:
+                    del self._loans[key]
+            for upstream in returned:
+                claim = self._claims.get(upstream)
+                if claim and claim[0] == borrower:
+                    del self._claims[upstream]
+
+    def drop_ended(self, now: float) -> None:
+        """Forget loans and claims that ended."""
+        with self._lock:
+            self._loans = {k: v for k, v in self._loans.items() if v.until > now}
+            self._claims = {
+                k: v for k, v in self._claims.items() if now - v[1] < self._lease_s
+            }
+
+    def get_loans(self, now: float) -> dict[tuple[UpstreamRef, int], Loan]:
+        """Return the loans that are running."""
+        with self._lock:
+            return {k: v for k, v in self._loans.items() if v.until > now}
+
+
+__all__ = ["Borrower", "LendingBook", "Loan"]
--- /dev/null
+++ b/src/fescueflow/rights/shares.py
@@ -0,0 +1,88 @@
+"""Arithmetic of shares.
+
+A limit ``L`` has slots ``0..L-1`` and slot ``k`` belongs to share ``k mod 8``,
+so that disjoint sets of shares never add up to more than ``L`` slots.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+SHARE_COUNT = 8
+ALL_SHARES = (1 << SHARE_COUNT) - 1
+
+# A slot that was granted but not started is invisible to the engine's report.
+# A home that shuts down waits this long before it returns its leases.
+START_WITHIN_MAX_S = 1.0
+
+
+def list_shares(share_bits: int) -> Iterator[int]:
+    """Yield the indices of the shares in a bit set."""
+    return (s for s in range(SHARE_COUNT) if share_bits >> s & 1)
+
+
+def count_slots(limit: int, share_bits: int) -> int:
+    """Return how many slots of a limit belong to a set of shares.
+
+    Parameters
+    ----------
+    limit : int
+        Slots ``0..limit-1`` exist.
+    share_bits : int
+        Bit ``s`` is set for share ``s``.
+
+    Returns
+    -------
+    int
+    """
+    return sum(
+        max(0, (limit - share + SHARE_COUNT - 1) // SHARE_COUNT)
+        for share in list_shares(share_bits)
+    )
+
+
+@dataclass(frozen=True)
+class ShareLease:
+    """One leased share.
+
+    ``acquired_at`` is when the current unbroken lease was first received: work
+    that another home started under an earlier lease had started before it.
+    """
+
+    share: int
+    acquired_at: float
+    expires_at: float
+
+
+@dataclass(frozen=True)
+class LeasedShares:
+    """Shares of one upstream that its home may use now.
+
+    Parameters
+    ----------
+    share_bits : int
+    expires_at : float
+        Earliest end among the leases.
+    home_since : float
+        When this instance became home, without a break since.
+    leases : tuple of ShareLease
+    """
+
+    share_bits: int
+    expires_at: float
+    home_since: float
+    leases: tuple[ShareLease, ...] = ()
+
+
+NO_SHARES = LeasedShares(0, 0.0, 0.0)
+
+
+__all__ = [
+    "ALL_SHARES",
+    "NO_SHARES",
+    "SHARE_COUNT",
+    "START_WITHIN_MAX_S",
+    "LeasedShares",
+    "ShareLease",
+    "count_slots",
+    "list_shares",
+]
--- /dev/null
+++ b/src/fescueflow/transport/server.py
@@ -0,0 +1,319 @@
+"""Serving requests of other instances, one task per connection."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor, wait
+from typing import Any
+
+import logbook
+
+from fescueflow.core import Incarnation, InstanceId, RequestError
+from fescueflow.metrics import Metrics
+from fescueflow.schema import Failure, Frame, Pending
+from fescueflow.transport.framing import (
+    ConnectionEnded,
+    Deadline,
+    get_type_name,
+    receive_frame,
+    seal_frame,
+)
+from fescueflow.transport.keyring import Keyring
+from fescueflow.transport.messages import (
+    MessageCounter,
+    MessageRejected,
+    Sender,
+    read_sender,
+)
+from fescueflow.transport.network import Network, format_address
+from fescueflow.transport.tasks import STOP_TIMEOUT_S, Task
+
+POLL_S = 0.2
+PENDING_INTERVAL_S = 0.25
+PENDING_SCAN_S = 0.05
+IDLE_LIMIT_S = 5.0
+RECEIVE_SILENCE_S = 1.0
+RECEIVE_LIMIT_S = 10.0
+SEND_SILENCE_S = 5.0
+
+log = logbook.Logger("transport")
+
+FrameHandler = Callable[[Sender, Any], Any]
+
+
+class ServedConnection:
+    """One accepted connection and whether an exchange runs on it."""
+
+    def __init__(self, accepted: socket.socket, address: str) -> None:
+        self.socket = accepted
+        self.address = address
+        self.write_lock = threading.Lock()
+        # Time at which the last exchange ended, `None` before the first one: a
+        # client that has just connected is about to send.
+        self.idle_since: float | None = None
+        self.handling_since: float | None = None
+        self.last_write_at = 0.0
+
+    def abort(self) -> None:
+        """End the connection; its task sees the end and closes the socket."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
+class FrameServer:
+    """The TCP listener of an instance.
+
+    Parameters
+    ----------
+    network : Network
+    address : str
+        ``ip:port``; with port 0 the chosen port is in ``address`` after start.
+    keyring : Keyring
+    instance : InstanceId
+    incarnation : Incarnation
+    metrics : Metrics
+    threads_max : int
+        Connections served at a time. When all are taken, the connection that
+        is idle for the longest time is closed in favour of a new one.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: Network,
+        address: str,
+        keyring: Keyring,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        metrics: Metrics,
+        threads_max: int,
+    ) -> None:
+        self.address = address
+        self._network = network
+        self._keyring = keyring
+        self._instance = instance
+        self._incarnation = incarnation
+        self._metrics = metrics
+        self._counter = MessageCounter(metrics, "frame")
+        self._threads_max = threads_max
+        self._handlers: dict[type, FrameHandler] = {}
+        self._lock = threading.Lock()
+        self._connections: dict[ServedConnection, Future[None]] = {}
+        self._listener: socket.socket | None = None
+        self._executor: ThreadPoolExecutor | None = None
+        self._is_handling = threading.Event()
+        self._stopping = threading.Event()
+        self._accept_task = Task("frame-accept", self._accept)
+        self._pending_task = Task("frame-pending", self._send_pending)
+
+    def register(self, content_type: type, handler: FrameHandler) -> None:
+        """Set the handler of a content type; it returns the answer's content.
+
+        A ``RequestError`` that it raises becomes a ``Failure`` frame.
+        """
+        self._handlers[content_type] = handler
+
+    def start(self) -> None:
+        """Listen and serve.
+
+        Raises
+        ------
+        OSError
+            If the address can't be bound.
+        """
+        with self._lock:
+            if self._listener is not None:
+                return
+            self._listener = self._network.listen(self.address)
+            self._listener.settimeout(POLL_S)
+            self.address = format_address(*self._listener.getsockname()[:2])
+            self._stopping = threading.Event()
+            self._executor = ThreadPoolExecutor(self._threads_max, "frame")
+        self._accept_task.start()
+        self._pending_task.start()
+
+    def stop(self) -> None:
+        """Stop listening, end all connections and wait for their tasks."""
+        self._stopping.set()
+        self._accept_task.stop()
+        self._pending_task.stop()
+        with self._lock:
+            listener, executor = self._listener, self._executor
+            self._listener = self._executor = None
+            connections = dict(self._connections)
+        if listener is not None:
+            listener.close()
+        for connection, future in connections.items():
+            connection.abort()
+            if future.cancel():
+                self._remove(connection)
+        if executor is not None:
+            executor.shutdown(wait=False)
+        wait(connections.values(), STOP_TIMEOUT_S)
+
+    def _accept(self, stopping: threading.Event) -> None:
+        listener = self._listener
+        while listener is not None and not stopping.is_set():
+            try:
+                accepted, source = listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                # Out of file descriptors, or the client is gone already.
+                self._metrics.count("peer_accept_errors")
+                stopping.wait(0.05)
+                continue
+            self._admit(accepted, format_address(*source[:2]))
+
+    def _admit(self, accepted: socket.socket, address: str) -> None:
+        connection = ServedConnection(accepted, address)
+        with self._lock:
+            executor = self._executor
+            full = len(self._connections) >= self._threads_max
+            idlest = self._find_longest_idle() if full else None
+            if executor is None or (full and idlest is None):
+                self._metrics.count("peer_connections", direction="refused")
+                accepted.close()
+                return
+            if idlest is not None:
+                idlest.idle_since = None
+                idlest.abort()
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._connections[connection] = executor.submit(self._serve, connection)
+        self._metrics.count("peer_connections", direction="accepted")
+
+    def _find_longest_idle(self) -> ServedConnection | None:
+        idle = [c for c in self._connections if c.idle_since is not None]
+        return min(idle, key=lambda c: c.idle_since or 0.0, default=None)
+
+    def _remove(self, connection: ServedConnection) -> None:
+        with self._lock:
+            self._connections.pop(connection, None)
+        with connection.write_lock:
+            connection.socket.close()
+
+    def _serve(self, connection: ServedConnection) -> None:
+        try:
+            while not self._stopping.is_set():
+                self._serve_exchange(connection)
+        except (ConnectionEnded, ConnectionError):
+            pass
+        except TimeoutError:
+            self._metrics.count("peer_connections", direction="expired")
+        except MessageRejected as error:
+            self._counter.count_rejected(error.reason)
+        except OSError:
+            self._metrics.count("peer_connections", direction="failed")
+        except Exception as error:
+            self._counter.count_rejected("failed")
+            log.error("connection from {} failed: {!r}", connection.address, error)
+        finally:
+            self._remove(connection)
+
+    def _serve_exchange(self, connection: ServedConnection) -> None:
+        is_new = connection.idle_since is None
+        connection.socket.settimeout(RECEIVE_SILENCE_S if is_new else IDLE_LIMIT_S)
+        start = connection.socket.recv(1)
+        if not start:
+            raise ConnectionEnded("connection closed by the other side")
+        with self._lock:
+            connection.idle_since = None
+        deadline = Deadline(RECEIVE_LIMIT_S, RECEIVE_SILENCE_S)
+        frame, size = receive_frame(connection.socket, self._keyring, deadline, start)
+        self._counter.count("received", get_type_name(frame.content), size)
+        sender = read_sender(
+            frame, self._instance, self._incarnation, connection.address
+        )
+        now = time.monotonic()
+        connection.last_write_at = now
+        connection.handling_since = now
+        self._is_handling.set()
+        try:
+            answer = self._seal_answer(self._handle(sender, frame.content))
+        finally:
+            with connection.write_lock:
+                connection.handling_since = None
+        with connection.write_lock:
+            connection.socket.settimeout(SEND_SILENCE_S)
+            connection.socket.sendall(answer)
+        with self._lock:
+            connection.idle_since = time.monotonic()
+
+    def _handle(self, sender: Sender, content: Any) -> Any:
+        handler = self._handlers.get(type(content))
+        name = get_type_name(content)
+        if handler is None:
+            return Failure("unsupported", f"{name} is not served")
+        try:
+            return handler(sender, content)
+        except RequestError as error:
+            return Failure(error.type, error.message)
+        except Exception as error:
+            self._metrics.count("frame_handler_errors", type=name)
+            log.error("handler of {} from {} failed: {!r}", name, sender, error)
+            return Failure("internal_error", type(error).__name__)
+
+    def _seal_answer(self, content: Any) -> bytes:
+        try:
+            data = self._seal(content)
+        except Exception as error:
+            name = get_type_name(content)
+            self._metrics.count("frame_handler_errors", type=name)
+            log.error("answer {} can't be sent: {!r}", name, error)
+            content = Failure("internal_error", f"{name} can't be sent")
+            data = self._seal(content)
+        self._counter.count("sent", get_type_name(content), len(data))
+        return data
+
+    def _seal(self, content: Any) -> bytes:
+        frame = Frame(self._instance, self._incarnation, content)
+        return seal_frame(frame, self._keyring)
+
+    def _send_pending(self, stopping: threading.Event) -> None:
+        while not stopping.is_set():
+            if not self._is_handling.wait(POLL_S) or stopping.wait(PENDING_SCAN_S):
+                continue
+            now = time.monotonic()
+            with self._lock:
+                # Cleared before the scan: a handler that starts later sets it.
+                self._is_handling.clear()
+                handling = [
+                    c for c in self._connections if c.handling_since is not None
+                ]
+            if handling:
+                self._is_handling.set()
+            waiting = [
+                c for c in handling if now - c.last_write_at >= PENDING_INTERVAL_S
+            ]
+            for connection in waiting:
+                self._send_one_pending(connection, now)
+
+    def _send_one_pending(self, connection: ServedConnection, now: float) -> None:
+        """Tell the client that its request is still being handled.
+
+        The frame is sent without waiting. A partly sent frame would break the
+        stream, so such a connection is ended.
+        """
+        with connection.write_lock:
+            since = connection.handling_since
+            if since is None:
+                return
+            connection.last_write_at = now
+            data = self._seal(Pending(int((now - since) * 1000)))
+            try:
+                connection.socket.setblocking(False)
+                sent = connection.socket.send(data)
+            except BlockingIOError:
+                return
+            except OSError:
+                connection.abort()
+                return
+            if sent < len(data):
+                connection.abort()
+        self._counter.count("sent", "pending", len(data))
+
+
+__all__ = ["FrameServer"]
--- /dev/null
+++ b/tests/admission/test_queue.py
@@ -0,0 +1,204 @@
+"""Order and bounds of the queue, ramp and signs of coldness."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescueflow.admission.gate import Gate, GateTimes, GrantedSlot
+from fescueflow.admission.loads import compute_bound
+from fescueflow.admission.queue import QUEUE_MAX, Waiter, WaitQueue
+from fescueflow.admission.ramp import Ramp
+from fescueflow.admission.reader import parse_report
+from fescueflow.admission.slots import LoadEvent, LoadReport, SlotDemand
+from fescueflow.configuration import Group
+from fescueflow.core import Priority, UpstreamKind
+from fescueflow.rights import LeasedShares, ShareLease
+from tests.builders import build_upstream
+
+UPSTREAM = build_upstream()
+GROUP = Group("g", UpstreamKind.ENGINE, 16, 2, 1.25)
+
+
+def make_waiter(key, customer="c", priority=Priority.STANDARD, share=1, at=0.0):
+    demand = SlotDemand(key, UPSTREAM, customer, priority, share, 1.0, 30.0)
+    return Waiter(("i", 1), demand, at + 30.0, at)
+
+
+def serve(queue, count):
+    served = []
+    for _ in range(count):
+        waiter = queue.get_next()
+        queue.remove(waiter, served=True)
+        served.append(waiter.demand)
+    return served
+
+
+class TestQueue(unittest.TestCase):
+    def setUp(self):
+        self.queue = WaitQueue()
+
+    def add(self, key, at=0.0, **changes):
+        return self.queue.add(make_waiter(key, at=at, **changes), at)
+
+    def test_surge_of_one_customer_does_not_delay_others(self):
+        """Guards against a queue that serves in order of arrival only."""
+        for index in range(100):
+            self.add(f"a{index}", customer="surging", at=index / 100)
+        self.add("b", customer="quiet", at=2.0)
+        self.assertIn("quiet", [d.customer for d in serve(self.queue, 2)])
+
+    def test_service_follows_shares(self):
+        """Guards against shares without effect."""
+        for index in range(60):
+            self.add(f"a{index}", customer="large", share=3)
+            self.add(f"b{index}", customer="small", share=1)
+        served = [d.customer for d in serve(self.queue, 40)]
+        self.assertAlmostEqual(served.count("large"), 30, delta=3)
+
+    def test_lower_class_gets_a_guaranteed_part(self):
+        """Guards against batch work that waits for ever."""
+        self.add("batch", priority=Priority.BATCH)
+        for index in range(40):
+            self.add(f"i{index}", priority=Priority.INTERACTIVE, at=1.0)
+        served = [d.priority for d in serve(self.queue, 16)]
+        self.assertEqual(served.count(Priority.BATCH), 1)
+        self.assertEqual(served[0], Priority.INTERACTIVE)
+
+    def test_full_queue_refuses_the_heaviest_customer(self):
+        """Guards against a surge that takes the whole queue."""
+        for index in range(QUEUE_MAX):
+            self.assertIsNone(self.add(f"a{index}", customer="surging", at=index))
+        displaced = self.add("b", customer="quiet", at=QUEUE_MAX)
+        self.assertEqual(displaced.demand.customer, "surging")
+        self.assertEqual(len(self.queue), QUEUE_MAX)
+
+    def test_restrained_customer_is_passed_over(self):
+        """Guards against a restrained customer that blocks the queue."""
+        self.add("i", customer="surging", priority=Priority.INTERACTIVE)
+        self.add("s", customer="quiet", at=1.0)
+        self.assertEqual(self.queue.get_next({"surging"}).demand.request_key, "s")
+        self.assertIsNone(self.queue.get_next({"surging", "quiet"}))
+
+    def test_repeated_wait_keeps_its_place(self):
+        """Guards against requesters that lose their turn at each interval."""
+        waiter = make_waiter("first")
+        self.queue.add(waiter, 0.0)
+        self.queue.remove(waiter, served=False)
+        self.queue.keep_place(waiter, 0.2)
+        self.add("second", customer="d", at=0.2)
+        self.add("first", at=0.3)
+        self.assertEqual(serve(self.queue, 1)[0].request_key, "first")
+
+
+class TestRamp(unittest.TestCase):
+    def report(self, incarnation="e", warm=True, events=()):
+        listed = tuple(LoadEvent(number, kind) for number, kind in events)
+        return LoadReport(incarnation, 0, warm, 0.0, listed)
+
+    @given(st.lists(st.booleans(), max_size=60))
+    def test_limit_never_outruns_completed_answers(self, completions):
+        """Guards against a cold upstream that gets the warm load."""
+        ramp, completed = Ramp(GROUP), 0
+        for good in completions:
+            if good:
+                ramp.complete(0.01)
+                completed += 1
+            else:
+                ramp.turn_cold()
+                completed = 0
+            self.assertLessEqual(ramp.limit, max(2, completed + 2))
+            self.assertLessEqual(ramp.limit, 16)
+
+    def test_signs_of_coldness(self):
+        """Guards against an upstream that turns cold unnoticed."""
+        first = self.report(events=[(4, "stored")])
+        cases = {
+            "cleared": self.report(events=[(5, "cleared")]),
+            "event_gap": self.report(events=[(6, "stored")]),
+            "new_incarnation": self.report("other"),
+            "reported_cold": self.report(warm=False),
+            None: self.report(events=[(5, "stored"), (6, "stored")]),
+        }
+        for sign, report in cases.items():
+            ramp = Ramp(GROUP)
+            ramp.apply_report(first)
+            self.assertEqual(ramp.limit, 16)
+            self.assertEqual(ramp.apply_report(report), sign)
+            self.assertEqual(ramp.limit, 2 if sign else 16)
+
+    def test_limit_stays_while_the_engine_reports_that_it_is_cold(self):
+        """Guards against a ramp that old answers lift at a cold engine."""
+        ramp = Ramp(GROUP)
+        ramp.apply_report(self.report(warm=False))
+        for _ in range(10):
+            ramp.complete(0.1)
+        self.assertEqual(ramp.limit, 2)
+        ramp.apply_report(self.report())
+        ramp.complete(0.1)
+        self.assertEqual(ramp.limit, 4)
+
+    def test_slow_first_byte_is_a_sign(self):
+        """Guards against a cache that was lost without an event."""
+        ramp = Ramp(GROUP)
+        self.assertFalse(any(ramp.complete(0.1) for _ in range(20)))
+        self.assertTrue(ramp.complete(0.9))
+        self.assertEqual(ramp.limit, 2)
+
+
+class TestLoads(unittest.TestCase):
+    @given(st.integers(1, 50), st.lists(st.integers(0, 200), min_size=1, max_size=40))
+    def test_some_engine_is_always_below_the_bound(self, hundredths, loads):
+        """Guards against a bound that refuses work for the whole group."""
+        bound = compute_bound(1 + hundredths / 100, sum(loads), len(loads))
+        self.assertLess(min(loads), bound)
+
+    def test_foreign_load_excludes_own_finished_requests(self):
+        """Guards against own requests taken for those of an earlier home."""
+        gate = Gate(UPSTREAM, GROUP, GateTimes(2.0, 0.7, 1.0))
+        gate.begin(0.0)
+        gate.apply_report(LoadReport("e", 3, True, 1.0))
+        self.assertEqual(gate.count_foreign(1.5), 3)
+        gate.set_carried("i", 4, 1.5)
+        self.assertEqual(gate.count_foreign(1.6), 4)
+        self.assertEqual(gate.count_foreign(4.0), 3)
+
+    def make_shares(self):
+        leases = tuple(ShareLease(share, 0.5, 99.0) for share in range(8))
+        return LeasedShares(255, 99.0, 0.0, leases)
+
+    def test_reclaimed_request_counts_until_a_later_report(self):
+        """Guards against slots granted twice when their holder is only cut off."""
+        gate = Gate(UPSTREAM, GROUP, GateTimes(2.0, 0.7, 1.0))
+        gate.begin(0.0)
+        gate.apply_report(LoadReport("e", 0, True, 1.0))
+        gate.add_slot(GrantedSlot(1, "k", ("i", 1), 1.0, 1.5, 90.0, "c", 1), 1.0)
+        gate.reclaim_slot(1, 3.0)
+        gate.apply_report(LoadReport("e", 1, True, 2.9))
+        self.assertEqual(gate.compute_allowance(self.make_shares(), 3.1).slots, 0)
+        gate.apply_report(LoadReport("e", 1, True, 4.5))
+        self.assertEqual(gate.compute_allowance(self.make_shares(), 4.6).slots, 15)
+
+    def test_unused_slot_is_not_taken_for_a_running_request(self):
+        """Guards against foreign load hidden by a slot that was never started."""
+        gate = Gate(UPSTREAM, GROUP, GateTimes(2.0, 0.7, 1.0))
+        gate.begin(0.0)
+        gate.add_slot(GrantedSlot(1, "k", ("i", 1), 1.0, 1.5, 90.0, "c", 1), 1.0)
+        gate.apply_report(LoadReport("e", 4, True, 2.0))
+        self.assertEqual(gate.compute_allowance(self.make_shares(), 2.1).slots, 13)
+        gate.remove_slot(1, 2.2)
+        self.assertEqual(gate.compute_allowance(self.make_shares(), 2.3).slots, 12)
+
+    def test_report_is_dated_back(self):
+        """Guards against an old report that is taken for a new one."""
+        body = (
+            b'{"incarnation": "e", "in_flight": 2, "warm": true, "age_ms": 400,'
+            b' "events": [{"sequence": 7, "kind": "cleared"}]}'
+        )
+        report = parse_report(body, 100.0)
+        self.assertEqual((report.taken_at, report.in_flight), (99.6, 2))
+        self.assertEqual(report.events, (LoadEvent(7, "cleared"),))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/admission/test_recalls.py
@@ -0,0 +1,179 @@
+"""Recalls of slots in favour of waiting entries."""
+
+import unittest
+from dataclasses import replace
+
+from returns.result import Success
+
+from fescueflow.core import Priority
+from fescueflow.schema import SlotOutcome, SlotRecall
+from tests.admission.test_home import find_home, make_world
+
+SLOTS = 8
+
+
+class TestRecalls(unittest.TestCase):
+    def setUp(self):
+        self.world = make_world()
+        self.upstream = self.world.upstreams[0]
+        self.home = find_home(self.world, self.upstream)
+        self.other = next(n for n in self.world.nodes.values() if n is not self.home)
+        self.recalled = []
+
+    def hold_all(self, node, recallable=True, **changes):
+        """Let a surging customer hold all slots for a while."""
+        slots = []
+        for index in range(SLOTS):
+            changed = {"customer": "loud", "recallable": recallable, **changes}
+            demand = self.world.demand(self.upstream, f"loud{index}", **changed)
+            slot = node.admission.acquire(demand).unwrap()
+            node.admission.watch_recall(slot, lambda s=slot: self.recalled.append(s))
+            slots.append(slot)
+        self.world.run(1)
+        return slots
+
+    def wait(self, key, customer="quiet", **changes):
+        """Return an entry that waits at the home."""
+        gate = self.home.admission._home.list_gates()[0]
+        own = self.home.member
+        changed = {"customer": customer, "wait_s": 9.0, **changes}
+        entry = self.home.admission._home._enter(
+            gate,
+            (own.instance, own.incarnation),
+            self.world.demand(self.upstream, key, **changed),
+            self.world.clock.now,
+        )
+        self.home.admission._home.serve_queue(gate)
+        return entry
+
+    def test_waiting_entry_gets_the_recalled_slot(self):
+        """Guards against quiet customers that wait behind a surge's answers."""
+        for name in ("home", "other"):
+            with self.subTest(name):
+                self.setUp()
+                node = getattr(self, name)
+                slots = self.hold_all(node)
+                earlier = self.wait("more", "loud")
+                entry = self.wait("q")
+                self.world.step()
+                self.world.step()
+                self.assertEqual(self.recalled, [slots[-1]])
+                self.assertIsNone(entry.answer)
+                node.admission.release(slots[-1], SlotOutcome.RECALLED)
+                self.world.step()
+                self.assertIsInstance(entry.answer, Success)
+                self.assertIsNone(earlier.answer)
+                self.assertFalse(self.home.admission.get_status()[0].cold)
+
+    def test_lost_recall_is_repeated(self):
+        """Guards against an entry that waits for a message that got lost."""
+        self.hold_all(self.other)
+        self.world.loss = 1.0
+        self.wait("q")
+        self.world.run(0.05)
+        self.world.loss = 0.0
+        self.world.run(0.2)
+        self.assertGreaterEqual(len(self.recalled), 1)
+        self.assertEqual(len(set(self.recalled)), 1)
+
+    def test_slot_is_not_reserved_for_ever(self):
+        """Guards against slots kept free for an entry that has gone."""
+        slots = self.hold_all(self.other)
+        entry = self.wait("q")
+        gate = self.home.admission._home.list_gates()[0]
+        self.home.admission._home._leave(gate, entry)
+        later = self.wait("more", "loud")
+        self.other.admission.release(slots[-1], SlotOutcome.RECALLED)
+        self.world.step()
+        self.assertIsNone(later.answer)
+        self.world.run(0.5)
+        self.assertIsInstance(later.answer, Success)
+
+    def test_recall_reaches_its_slot_only(self):
+        """Guards against a stream cut by a recall that is late or not meant for it."""
+        slot = self.hold_all(self.other)[0]
+        handler = self.other.endpoint.handlers[SlotRecall]
+        restarted = replace(self.home.sender, incarnation=99)
+        handler(restarted, SlotRecall(slot.id))
+        handler(self.home.sender, SlotRecall(slot.id + 1000))
+        self.assertEqual(self.recalled, [])
+        handler(self.home.sender, SlotRecall(slot.id))
+        self.other.admission.release(slot, SlotOutcome.COMPLETED, 0.1)
+        handler(self.home.sender, SlotRecall(slot.id))
+        self.assertEqual(self.recalled, [slot])
+
+    def test_recall_before_the_requester_watches_is_kept(self):
+        """Guards against a recall lost while the request is being started."""
+        demand = self.world.demand(self.upstream, "early", recallable=True)
+        slot = self.other.admission.acquire(demand).unwrap()
+        handler = self.other.endpoint.handlers[SlotRecall]
+        handler(self.home.sender, SlotRecall(slot.id))
+        self.other.admission.watch_recall(slot, lambda: self.recalled.append(slot))
+        self.assertEqual(self.recalled, [slot])
+
+    def test_what_can_not_resume_is_never_recalled(self):
+        """Guards against non-idempotent work that is interrupted."""
+        self.hold_all(self.other, recallable=False)
+        self.wait("q")
+        self.world.run(0.5)
+        self.assertEqual(self.recalled, [])
+
+    def test_slot_runs_for_a_while_before_its_recall(self):
+        """Guards against streams that are resumed without any progress."""
+        self.hold_all(self.other, resumed=True)
+        gate = self.home.admission._home.list_gates()[0]
+        for slot in list(gate.slots.values()):
+            begun = replace(slot, granted_at=self.world.clock.now - 0.02)
+            gate.slots[slot.id] = begun
+        self.wait("q")
+        self.world.step()
+        self.assertEqual(self.recalled, [])
+        self.world.run(0.3)
+        self.assertGreaterEqual(len(self.recalled), 1)
+
+    def test_heavy_entry_is_told_when_it_may_end(self):
+        """Guards against late refusals where no slot is kept free."""
+        slots = self.hold_all(self.other)
+        self.wait("q", wait_s=0.0)
+        gate = self.home.admission._home.list_gates()[0]
+        shares = self.home.rights.get_shares("u0")
+        now = self.world.clock.now
+        gate.usage._uses["loud"].hold_s = 0.8
+        entry = self.wait("more", "loud", recallable=True)
+        self.assertGreater(gate.estimate_heavy_end(entry, shares, now), 0.8)
+        for slot in slots[:2]:
+            gate.remove_slot(slot.id, now)
+        gate.recalls._recalls.clear()
+        self.assertEqual(gate.estimate_heavy_end(entry, shares, now), 0.0)
+
+    def test_classes(self):
+        """Guards against urgent work behind lookups, and recalls among equals."""
+        cases = [
+            ("heavy yields to its class", Priority.STANDARD, "quiet", 1, True),
+            ("not to a lower one", Priority.STANDARD, "quiet", 2, False),
+            ("own higher class", Priority.STANDARD, "loud", 0, True),
+            ("own class", Priority.STANDARD, "loud", 1, False),
+        ]
+        for name, held, customer, priority, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.hold_all(self.other, priority=held)
+                self.wait("first", "quiet", wait_s=0.0, priority=Priority.BATCH)
+                self.wait("q", customer, priority=Priority(priority))
+                self.world.run(0.2)
+                self.assertEqual(bool(self.recalled), expected)
+
+    def test_lookups_of_any_customer_yield(self):
+        """Guards against interactive work that waits behind lookups."""
+        cases = [(Priority.LOOKUP, True), (Priority.STANDARD, False)]
+        for held, expected in cases:
+            with self.subTest(held.name):
+                self.setUp()
+                self.hold_all(self.other, priority=held, share=100)
+                self.wait("q", priority=Priority.INTERACTIVE)
+                self.world.run(0.2)
+                self.assertEqual(bool(self.recalled), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/audit/test_trail.py
@@ -0,0 +1,33 @@
+"""Audit trail: a missing or altered record must be visible."""
+
+import unittest
+
+from fescueflow.audit import AuditKind, AuditTrail, chain_digest, describe_record
+from fescueflow.core import SystemClock
+
+
+class TestAuditTrail(unittest.TestCase):
+    def make_trail(self, count):
+        trail = AuditTrail("i1", 1, SystemClock(), records_max=100)
+        for index in range(count):
+            trail.record(AuditKind.REQUEST_RAN, request=index)
+        return trail
+
+    def test_chain_verifies_from_the_first_record(self):
+        digest = ""
+        for entry in self.make_trail(5).read_after(0):
+            body = describe_record(
+                entry.sequence, entry.wall_s, entry.kind, entry.fields
+            )
+            digest = chain_digest(digest, body)
+            self.assertEqual(entry.digest, digest)
+
+    def test_read_after_returns_only_newer_records(self):
+        trail = self.make_trail(150)
+        sequences = [entry.sequence for entry in trail.read_after(120)]
+        self.assertEqual(sequences, list(range(121, 151)))
+        self.assertEqual(trail.read_after(0)[0].sequence, 51)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/delivery/test_streams.py
@@ -0,0 +1,427 @@
+"""Guards streams against lost, repeated, crossed and missing tokens."""
+
+import itertools
+import json
+import select
+import socket
+import threading
+import time
+import unittest
+
+from hypothesis import given, strategies
+
+from fescueflow.delivery import StreamCut
+from fescueflow.delivery.events import iterate_events, parse_json
+from fescueflow.delivery.loop import StreamLoop, StreamSource
+from fescueflow.schema import SlotOutcome
+from tests.delivery import fakes
+from tests.delivery.fakes import FakeNode, make_chat, make_stream
+from tests.delivery.test_dispatcher import DeliveryTestCase
+
+
+def read_tokens(parts):
+    """Return token indexes and how the stream ended."""
+    indexes, end = [], "open"
+    for event in iterate_events(parts):
+        if event.data is None:
+            continue
+        if event.data == b"[DONE]":
+            end = "done"
+        elif event.name == b"error":
+            end = json.loads(event.data)["error"]["outcome"]
+        else:
+            indexes.append(json.loads(event.data)["index"])
+    return indexes, end
+
+
+class StreamTest(DeliveryTestCase):
+    def open(self, **changes):
+        answer = self.dispatch(make_chat(stream=True, **changes))
+        self.assertEqual(answer.status, 200)
+        self.addCleanup(answer.body.close)
+        return answer.body
+
+    def read_parts(self, body, parts):
+        parts.extend(body)
+
+    def read(self, **changes):
+        parts = []
+        self.read_parts(self.open(**changes), parts)
+        return read_tokens(parts)
+
+    def test_whole_stream(self):
+        self.one.script = [make_stream(range(5))]
+        self.assertEqual(self.read(), (list(range(5)), "done"))
+        self.assertEqual(self.node.get_audit(), [("idempotent", "ran", "u1")])
+        text = self.node.metrics.render()
+        self.assertIn("fescueflow_first_token_seconds_count 1", text)
+        self.assertIn("fescueflow_token_gap_seconds_count 4", text)
+
+    def test_tokens_are_relayed_as_they_come(self):
+        release = threading.Event()
+        self.addCleanup(release.set)
+        self.one.script = [
+            make_stream([0], False, lambda c, r: release.wait(30)),
+        ]
+        body = self.open()
+        self.assertEqual(read_tokens([next(body)]), ([0], "open"))
+        body.close()
+
+    def test_interrupted_stream_is_resumed_without_loss_or_repeat(self):
+        broken = b"data: {not json}\n\n"
+        error = b'event: error\ndata: {"error": {}}\n\n'
+        half = b'data: {"index": 3, "cho'
+
+        def send(data):
+            return lambda c, r: c.sendall(fakes.format_chunk(data))
+
+        cases = {
+            "cut": make_stream([0, 1, 2], False),
+            "gap": make_stream([0, 1, 2, 4]),
+            "duplicate": make_stream([0, 1, 1, 2, 0], False),
+            "broken": make_stream([0, 1, 2], False, send(broken)),
+            "error": make_stream([0, 1, 2], False, send(error)),
+            "half": make_stream([0, 1, 2], False, send(half)),
+            "no end": make_stream(
+                [0, 1, 2], False, lambda c, r: c.sendall(b"0\r\n\r\n")
+            ),
+        }
+        for name, step in cases.items():
+            with self.subTest(name):
+                self.two.received.clear()
+                self.one.script, self.two.script = [step], [make_stream([3, 4])]
+                self.assertEqual(self.read(), ([0, 1, 2, 3, 4], "done"))
+                self.assertEqual(self.two.received[0].document["resume_from"], 3)
+
+    def test_silent_stream_is_resumed(self):
+        self.node = FakeNode([self.one, self.two], upstream_silence_timeout_ms=200)
+        self.one.script = [make_stream([0], False, self.one.wait_for_close)]
+        self.two.script = [make_stream([1, 2])]
+        self.assertEqual(self.read(), ([0, 1, 2], "done"))
+        self.assertTrue(self.one.closed_by_peer.wait(30))
+
+    def stream_until_recall(self, indexes, slot):
+        """Return a step that streams until its slot is recalled."""
+
+        def recall(connection, request):
+            self.node.admission.watched[slot]()
+            self.one.wait_for_close(connection, request)
+
+        return make_stream(indexes, False, recall)
+
+    def test_recalled_stream_is_whole(self):
+        """Guards against lost or repeated tokens, and against a recall that
+        counts as a failure of the engine."""
+        self.one.script = [
+            self.stream_until_recall([0, 1, 2], 1),
+            make_stream([3, 4]),
+        ]
+        self.assertEqual(self.read(), ([0, 1, 2, 3, 4], "done"))
+        self.assertEqual(self.one.received[1].document["resume_from"], 3)
+        outcomes = [SlotOutcome.RECALLED, SlotOutcome.COMPLETED]
+        self.assertEqual(self.get_outcomes(), outcomes)
+        self.assertEqual(
+            [d.resumed for d in self.node.admission.demands], [False, True]
+        )
+        text = self.node.metrics.render()
+        self.assertIn("fescueflow_recalled_attempts_total 1", text)
+        self.assertNotIn("fescueflow_failed_attempts_total", text)
+
+    def test_recall_before_the_first_token(self):
+        """Guards against a caller that sees the interruption."""
+
+        def recall(connection, request):
+            self.node.admission.watched[1]()
+            self.one.wait_for_close(connection, request)
+
+        self.one.script = [recall, self.stream_until_recall([], 2), make_stream([0])]
+        self.assertEqual(self.read(), ([0], "done"))
+        self.assertEqual(self.get_outcomes()[:2], [SlotOutcome.RECALLED] * 2)
+
+    def test_repeated_recall_ends_what_the_first_did_not(self):
+        """Guards against an engine that goes on after a half-closed connection."""
+
+        def go_on(connection, request):
+            self.node.admission.watched[1]()
+            self.node.admission.watched[1]()
+            self.one.closed_by_peer.wait(30)
+
+        def send(connection, request):
+            make_stream([1])(connection, request)
+            self.one.closed_by_peer.set()
+
+        self.one.script = [make_stream([0], False, go_on), send]
+        self.assertEqual(self.read(), ([0, 1], "done"))
+
+    def test_stream_that_ends_after_its_recall_is_complete(self):
+        """Guards against a resume of what has ended."""
+
+        def end(connection, request):
+            self.node.admission.watched[1]()
+            connection.sendall(fakes.format_chunk(b"data: [DONE]\n\n"))
+
+        self.one.script = [make_stream([0], False, end)]
+        self.assertEqual(self.read(), ([0], "done"))
+        self.assertEqual(self.get_outcomes(), [SlotOutcome.COMPLETED])
+
+    def test_stream_is_recalled_twice_at_most(self):
+        """Guards against a stream that never ends."""
+        self.one.script = [
+            self.stream_until_recall([0], 1),
+            self.stream_until_recall([1], 2),
+            make_stream([2]),
+        ]
+        self.assertEqual(self.read(), ([0, 1, 2], "done"))
+        recallable = [d.recallable for d in self.node.admission.demands]
+        self.assertEqual(recallable, [True, True, False])
+        self.assertNotIn(3, self.node.admission.watched)
+
+    def test_recalled_stream_waits_until_its_deadline(self):
+        """Guards against a stream that is cut because its customer is heavy."""
+        self.node.admission.plan = [None] + [fakes.OVER_SHARE] * 14
+        self.one.script = [self.stream_until_recall([0], 1), make_stream([1])]
+        self.assertEqual(self.read(deadline_ms=2000), ([0, 1], "done"))
+
+    def test_second_resume_and_refused_resumes(self):
+        self.one.script = [make_stream([0], False), make_stream([1, 2])]
+        self.two.script = [fakes.send_refusal, fakes.send_crossed]
+        self.assertEqual(self.read(), ([0, 1, 2], "done"))
+        self.assertIn(SlotOutcome.REFUSED_BY_UPSTREAM, self.get_outcomes())
+
+    def test_stream_that_can_not_be_resumed_fails_explicitly(self):
+        self.one.script = [make_stream([0, 1], False)]
+        self.two.script = [fakes.send_reset] * 100
+        self.one.script += [fakes.send_reset] * 100
+        body = self.open(deadline_ms=600)
+        parts = []
+        with self.assertRaises(StreamCut):
+            self.read_parts(body, parts)
+        self.assertEqual(read_tokens(parts), ([0, 1], "outcome_unknown"))
+        self.assertEqual(
+            [outcome for _, outcome, _ in self.node.get_audit()], ["outcome_unknown"]
+        )
+
+    def test_caller_that_disconnects_cancels_the_upstream(self):
+        self.one.script = [make_stream([0], False, self.one.wait_for_close)]
+        body = self.open()
+        next(body)
+        body.close()
+        body.close()
+        self.assertTrue(self.one.closed_by_peer.wait(30))
+        self.assertEqual(self.get_outcomes(), [SlotOutcome.UNUSED])
+        self.assertEqual(len(self.node.get_audit()), 1)
+
+    def test_unread_stream_gives_its_slot_back(self):
+        """A generator that never started would not run its clean-up."""
+        self.one.script = [make_stream([0], False, self.one.wait_for_close)]
+        self.open().close()
+        self.assertTrue(self.one.closed_by_peer.wait(30))
+
+    def test_failure_before_the_stream_is_an_error_answer(self):
+        def send_error(connection, request):
+            fakes.send_answer(connection, request.key, b"{}", "400 Bad")
+
+        self.one.script = [send_error]
+        answer = self.dispatch(make_chat(stream=True))
+        self.assertEqual((answer.status, answer.body), (400, b"{}"))
+
+
+class FailingSelector:
+    """Selector that fails when bytes have come."""
+
+    def __init__(self):
+        self.epoll = select.epoll()
+        self.register = self.epoll.register
+        self.unregister = self.epoll.unregister
+
+    def poll(self, timeout):
+        if self.epoll.poll(timeout):
+            raise ZeroDivisionError
+        return []
+
+
+class FailingSource(StreamSource):
+    """Stream without bytes whose time limits can't be checked."""
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    def get_socket(self):
+        return self.connection
+
+    def receive(self):
+        raise BlockingIOError
+
+    def check_time(self):
+        raise ZeroDivisionError
+
+
+class LoopTest(StreamTest):
+    """The same guards for bodies that write from the loop of all streams."""
+
+    refused_writes = 0
+
+    def setUp(self):
+        super().setUp()
+        self.writers = set()
+
+    def read_parts(self, body, parts):
+        refusals = itertools.cycle([False] * self.refused_writes + [True])
+
+        def try_write(data):
+            if not next(refusals):
+                return False
+            self.writers.add(threading.current_thread().name)
+            parts.append(data)
+            return True
+
+        body.attach(try_write)
+        parts.extend(body)
+
+    def stream_slowly(self, count, after=None):
+        """Return a step that sends tokens one by one, so that the loop waits."""
+
+        def send(connection, request):
+            for index in range(1, count):
+                time.sleep(0.01)
+                connection.sendall(fakes.format_chunk(fakes.format_token(index)))
+                if after is not None and index == count // 2:
+                    after()
+            end = fakes.format_chunk(b"data: [DONE]\n\n")
+            connection.sendall(end)
+
+        return make_stream([0], False, send)
+
+    def test_loop_writes_what_it_reads(self):
+        """Streams that stay in their own threads cost twice the processor time."""
+        self.one.script = [self.stream_slowly(10)]
+        self.assertEqual(self.read(), (list(range(10)), "done"))
+        self.assertEqual(self.writers, {"streams"})
+
+    def test_stream_goes_on_when_the_loop_stops(self):
+        """A stopped loop must not cut streams or leave their tasks waiting."""
+        stop = self.node.dispatcher.stop
+        self.one.script = [self.stream_slowly(10, stop), self.stream_slowly(3)]
+        self.assertEqual(self.read(), (list(range(10)), "done"))
+        self.assertEqual(self.read(), (list(range(3)), "done"))
+
+    def test_error_in_the_loop_reaches_the_task(self):
+        """It would otherwise wait forever, and so would all other streams."""
+
+        def fail(data):
+            raise ZeroDivisionError
+
+        self.one.script = [self.stream_slowly(10), self.stream_slowly(3)]
+        body = self.open()
+        body.attach(fail)
+        with self.assertRaises(ZeroDivisionError):
+            list(body)
+        body.close()
+        self.assertEqual(self.read(), (list(range(3)), "done"))
+
+    def fail_loop(self):
+        """Let the loop fail when the first bytes come."""
+        loop = StreamLoop(self.node.clock, self.node.metrics, FailingSelector())
+        self.node.make_dispatcher(loop)
+
+    def test_stream_is_resumed_after_the_loop_has_failed(self):
+        """Nobody saw that the loop had failed."""
+
+        def go_on(connection, request):
+            make_stream(range(request.document["resume_from"], 10))(connection, request)
+
+        self.fail_loop()
+        self.one.script = [self.stream_slowly(10), go_on, self.stream_slowly(3)]
+        self.assertEqual(self.read(), (list(range(10)), "done"))
+        self.assertEqual(self.read(), (list(range(3)), "done"))
+        self.assertEqual(self.writers, set())
+        self.assertTrue(self.node.dispatcher.has_failed())
+        count = self.node.metrics.get_count
+        self.assertEqual(count("stream_loop_failures"), 1)
+        self.assertEqual(count("failed_attempts", reason="loop_failed"), 1)
+
+    def test_stream_fails_explicitly_after_the_loop_has_failed(self):
+        """Its task must not wait for a loop that has ended."""
+        self.fail_loop()
+        self.one.script = [self.stream_slowly(10)] + [fakes.send_reset] * 100
+        self.two.script = [fakes.send_reset] * 100
+        parts = []
+        with self.assertRaises(StreamCut):
+            self.read_parts(self.open(deadline_ms=600), parts)
+        self.assertEqual(read_tokens(parts)[1], "outcome_unknown")
+
+    def test_error_in_a_time_limit_ends_its_own_stream_only(self):
+        """It ended the loop, and with it all streams."""
+        loop = StreamLoop(self.node.clock, self.node.metrics)
+        self.addCleanup(loop.stop)
+        with socket.socket() as unused, self.assertRaises(ZeroDivisionError):
+            loop.run(FailingSource(unused))
+        self.assertFalse(loop.has_failed())
+
+
+class SlowCallerTest(LoopTest):
+    """The same guards when most writes from the loop are refused."""
+
+    refused_writes = 2
+
+
+class EventTest(unittest.TestCase):
+    @given(
+        strategies.lists(strategies.binary(max_size=20).filter(lambda b: b)),
+        strategies.integers(1, 7) | strategies.integers(8, 60),
+    )
+    def test_parts_do_not_matter(self, values, size):
+        """Events must not depend on how the network splits them."""
+        lines = [v.replace(b"\n", b"").replace(b"\r", b"") for v in values]
+        data = b"".join(b"data: " + line + b"\n\n" for line in lines)
+        parts = [data[i : i + size] for i in range(0, len(data), size)]
+        self.assertEqual([e.data for e in iterate_events(parts)], lines)
+
+    @given(
+        strategies.lists(
+            strategies.sampled_from(
+                [
+                    b"data: one\n\n",
+                    b"data: two\r\n\r\n",
+                    b"data: a\ndata: b\n\n",
+                    b"event: error\n",
+                    b"event: error\ndata: e\n\n",
+                    b": comment\n\n",
+                    b"data: half",
+                    b"data:\n\n",
+                    b"\n",
+                ]
+            )
+        )
+    )
+    def test_whole_events_are_read_as_split_ones(self, parts):
+        """The shorter way for one event in one part must not change a name or data."""
+        split = [bytes([byte]) for part in parts for byte in part]
+        self.assertEqual(list(iterate_events(parts)), list(iterate_events(split)))
+
+    @given(
+        strategies.recursive(
+            strategies.none() | strategies.integers() | strategies.text(),
+            lambda inner: strategies.dictionaries(strategies.text(), inner),
+        ),
+        strategies.sampled_from(["utf-8", "utf-8-sig", "utf-16", "utf-16-le"]),
+        strategies.sampled_from(["V", " V", "V ", "V}", "VV", "[V", '{"index": V}']),
+    )
+    def test_json_is_read_as_by_the_standard_library(self, value, encoding, form):
+        """Damaged events must not pass, and whole ones must, whatever their form."""
+        data = form.replace("V", json.dumps(value)).encode(encoding)
+        try:
+            expected = json.loads(data)
+        except ValueError:
+            with self.assertRaises(ValueError):
+                parse_json(data)
+        else:
+            self.assertEqual(parse_json(data), expected)
+
+    @given(strategies.lists(strategies.binary()))
+    def test_random_bytes_are_harmless(self, parts):
+        list(iterate_events(parts))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/membership/reading_zone.py
@@ -0,0 +1,169 @@
+"""One zone whose readers relay the list, on clocks that differ per instance."""
+
+from fescueflow.core import Clock, PlatformUnavailable, SeededRandomness
+from fescueflow.membership import ListRelay, ListService, PauseDetector
+from fescueflow.metrics import Metrics
+from fescueflow.platform import InstanceListClient, ListSnapshot
+from fescueflow.schema import ListNotice
+from tests.builders import (
+    build_listed_instance,
+    build_member,
+    build_settings,
+    build_upstream,
+)
+from tests.fakes import FakeMembership, ManualClock, MemoryHub
+
+STEP_S = 0.05
+INTERVAL_S = 1.0
+PAUSE_LIMIT_S = 2.0
+
+
+class SkewedClock(Clock):
+    """The zone's clock with an offset and a rate of its own."""
+
+    def __init__(self, base, offset_s, drift):
+        self.base, self.offset_s, self.rate = base, offset_s, 1 + drift
+        self.started_at = base.now
+
+    def monotonic(self):
+        passed_s = (self.base.now - self.started_at) * self.rate
+        return self.started_at + passed_s + self.offset_s
+
+    def wall(self):
+        return self.base.wall()
+
+    def wait(self, event, seconds):
+        raise AssertionError("the zone runs the steps of its instances")
+
+    def convert(self, moment):
+        """Return the time of the zone's clock at a time of this one."""
+        passed_s = (moment - self.started_at - self.offset_s) / self.rate
+        return self.started_at + passed_s
+
+
+class NodeList(InstanceListClient):
+    """The platform as one instance sees it; ``hold_s`` passes within a reading."""
+
+    def __init__(self, zone, clock):
+        self.zone, self.clock = zone, clock
+        self.calls, self.hold_s, self.is_cut = 0, 0.0, False
+        self.asked = []
+
+    def read(self):
+        self.calls += 1
+        if self.is_cut:
+            raise PlatformUnavailable("cut off")
+        read_at = self.clock.monotonic()
+        self.asked.append(self.zone.clock.now)
+        snapshot = ListSnapshot(self.zone.listed, self.zone.get_upstreams(), read_at)
+        self.zone.clock.now += self.hold_s
+        return snapshot
+
+
+class ZoneNode:
+    """List service and relay of one instance, stepped by the zone."""
+
+    def __init__(self, zone, name, incarnation, offset_s=0.0, drift=0.0, **changes):
+        self.zone, self.name, self.paused = zone, name, False
+        self.clock = SkewedClock(zone.clock, offset_s, drift)
+        self.client = NodeList(zone, self.clock)
+        self.metrics, self.readings = Metrics(), []
+        self.pauses = PauseDetector(clock=self.clock, limit_s=PAUSE_LIMIT_S)
+        settings = build_settings(name, "z1", **changes)
+        member = zone.members[name] = build_member(name, incarnation)
+        self.address = member.peer_address
+        self.endpoint = zone.hub.make_endpoint(self.address, name, incarnation)
+        shared = {
+            "settings": settings,
+            "clock": self.clock,
+            "randomness": SeededRandomness(zone.seed * 1000 + len(zone.nodes)),
+            "metrics": self.metrics,
+        }
+        self.lists = ListService(client=self.client, **shared)
+        self.lists.subscribe(lambda snapshot: self.readings.append(snapshot.read_at))
+        self.relay = ListRelay(
+            list_service=self.lists,
+            membership=FakeMembership(zone, member),
+            endpoint=self.endpoint,
+            frame_client=self.endpoint,
+            frame_server=self.endpoint,
+            pauses=self.pauses,
+            **shared,
+        )
+        self.next_at = zone.clock.now + zone.random.uniform(0, INTERVAL_S)
+
+    def step(self):
+        self.pauses.tick()
+        self.relay.step()
+        if self.zone.clock.now >= self.next_at:
+            self.next_at = self.zone.clock.now + self.lists.step()
+
+    def get_age(self):
+        """Return the age of the last reading in the eyes of this instance."""
+        return self.clock.monotonic() - self.lists.get_snapshot().read_at
+
+
+class Zone:
+    """Instances ``i0`` to ``i{count - 1}`` of one zone.
+
+    ``is_changing`` makes each reading show the time at which it was made.
+    """
+
+    def __init__(self, count=10, seed=1, loss=0.0, skew=None, **changes):
+        self.clock, self.seed = ManualClock(wall_s=1.7e9), seed
+        self.random = SeededRandomness(seed)
+        self.hub = MemoryHub(seed, loss)
+        self.members, self.nodes = {}, {}
+        self.version, self.is_changing = 0, False
+        self.listed = tuple(
+            build_listed_instance(build_settings(f"i{n}", "z1")) for n in range(count)
+        )
+        for n in range(count):
+            offset_s, drift = skew(n) if skew else (0.0, 0.0)
+            name = f"i{n}"
+            self.nodes[name] = ZoneNode(self, name, 1, offset_s, drift, **changes)
+
+    def get_upstreams(self):
+        version = f"{self.clock.now:.3f}" if self.is_changing else self.version
+        return (build_upstream(f"u{version}", address="10.0.0.1:80"),)
+
+    def run(self, seconds, check=None):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.now += STEP_S
+            for node in list(self.nodes.values()):
+                if not node.paused:
+                    node.step()
+            self.hub.deliver()
+            if check is not None:
+                check()
+
+    def find_readers(self):
+        """Return the readers, which all instances choose alike."""
+        return [n for n in self.nodes.values() if n.relay._find_role()]
+
+    def find_followers(self):
+        return [n for n in self.nodes.values() if n.relay._find_role() is False]
+
+    def pause(self, node, paused=True):
+        node.paused = paused
+        (self.hub.paused.add if paused else self.hub.paused.discard)(node.address)
+
+    def set_wall(self, wall_s):
+        """Set the time of day, by which the readers are chosen."""
+        self.clock._wall_s = wall_s
+
+    def kill(self, node, is_noticed=True):
+        """End an instance; heartbeats notice it at once or never."""
+        del self.nodes[node.name]
+        node.endpoint.stop()
+        if is_noticed:
+            del self.members[node.name]
+
+    def count_calls(self, seconds):
+        """Return the platform calls of each instance in the next seconds."""
+        before = {n.name: n.client.calls for n in self.nodes.values()}
+        self.run(seconds)
+        return {n.name: n.client.calls - before[n.name] for n in self.nodes.values()}
+
+    def list_notices(self):
+        return [entry for entry in self.hub.sent if isinstance(entry[2], ListNotice)]
--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,236 @@
+"""Platform clients: only complete, valid answers within the limits are used."""
+
+import gzip
+import json
+import threading
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescueflow.core import PlatformUnavailable, SystemClock
+from fescueflow.platform import (
+    HttpConfigurationClient,
+    HttpInstanceListClient,
+    Limits,
+    MalformedAnswer,
+    parse_list,
+)
+from tests.delivery.fakes import FakeUpstream
+from tests.fakes import find_free_address, make_faulty_network
+
+INSTANCE = {
+    "id": "i1",
+    "zone": "a",
+    "region": "r",
+    "http_address": "127.0.0.1:80",
+    "peer_address": "127.0.0.1:81",
+    "state": "live",
+}
+UPSTREAM = {
+    "id": "u1",
+    "group": "g",
+    "zone": "a",
+    "region": "r",
+    "address": "127.0.0.1:82",
+    "state": "leaving",
+}
+LIST = {"instances": [INSTANCE], "upstreams": [UPSTREAM]}
+LIMITS = Limits(connect_s=0.5, silence_s=0.5, total_s=1.5, body_bytes=10_000)
+
+
+def format_answer(body, status="200 OK", **headers):
+    headers = {"Content-Length": len(body)} | headers
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join([f"HTTP/1.1 {status}", *lines])
+    return f"{head}\r\n\r\n".encode() + body
+
+
+class RawServer(FakeUpstream):
+    """Answers each connection with given bytes, in parts with pauses."""
+
+    def __init__(self, answer, pause_s=0.0, part=1 << 20):
+        self.answer, self.pause_s, self.part = answer, pause_s, part
+        self._stopping = threading.Event()
+        super().__init__("raw")
+        self.url = f"http://{self.address}"
+
+    def answer_unscripted(self, connection, request):
+        for start in range(0, len(self.answer), self.part):
+            connection.sendall(self.answer[start : start + self.part])
+            if self._stopping.wait(self.pause_s):
+                return
+
+    def stop(self):
+        self._stopping.set()
+        super().stop()
+
+
+class ClientCase(unittest.TestCase):
+    def serve(self, answer, **options):
+        server = RawServer(answer, **options)
+        self.addCleanup(server.stop)
+        return server
+
+
+class TestListClient(ClientCase):
+    def read(self, answer, connect=None, **options):
+        server = self.serve(answer, **options)
+        client = HttpInstanceListClient(
+            url=server.url, clock=SystemClock(), limits=LIMITS
+        )
+        return client.read()
+
+    def test_valid_list(self):
+        snapshot = self.read(format_answer(json.dumps(LIST).encode()))
+        self.assertEqual(snapshot.instances[0].peer_address, "127.0.0.1:81")
+        self.assertEqual(snapshot.upstreams[0].state.value, "leaving")
+
+    def test_each_reading_is_dated_and_a_changed_list_is_parsed(self):
+        """An unchanged list that looked old would fence the instance."""
+        server = self.serve(format_answer(json.dumps(LIST).encode()))
+        client = HttpInstanceListClient(url=server.url, clock=SystemClock())
+        first, second = client.read(), client.read()
+        self.assertGreater(second.read_at, first.read_at)
+        self.assertIs(second.upstreams, first.upstreams)
+        server.answer = format_answer(json.dumps({**LIST, "upstreams": []}).encode())
+        self.assertEqual(client.read().upstreams, ())
+        self.assertEqual(client.read().instances, first.instances)
+
+    def test_unchanged_list_is_dated_without_its_body(self):
+        """Reading a large list once a second took 526 KB/s for each instance."""
+        body = json.dumps(LIST).encode()
+        packed = {"ETag": '"t1"', "Content-Encoding": "gzip"}
+        server = self.serve(format_answer(gzip.compress(body), **packed))
+        client = HttpInstanceListClient(url=server.url, clock=SystemClock())
+        first = client.read()
+        server.answer = format_answer(b"", status="304 Not Modified")
+        second = client.read()
+        self.assertGreater(second.read_at, first.read_at)
+        self.assertEqual(second.instances, first.instances)
+
+    def test_unasked_or_invalid_forms_are_refused(self):
+        gzipped = {"Content-Encoding": "gzip"}
+        bomb = gzip.compress(bytes(1_000_000))
+        cases = {
+            "not modified without a list": format_answer(b"", "304 Not Modified"),
+            "not gzip": format_answer(b"{}", **gzipped),
+            "cut gzip": format_answer(gzip.compress(b"{}")[:-4], **gzipped),
+            "inflates beyond the limit": format_answer(bomb, **gzipped),
+        }
+        for name, answer in cases.items():
+            with self.subTest(name), self.assertRaises(PlatformUnavailable):
+                self.read(answer)
+
+    def test_incomplete_or_oversized_answers_are_refused(self):
+        """A cut list must not look like a list from which instances have left."""
+        body = json.dumps(LIST).encode()
+        whole = format_answer(body)
+        chunked = format_answer(b"5\r\nhello\r\n", **{"Transfer-Encoding": "chunked"})
+        cases = {
+            "cut short": whole[:-5],
+            "no length": whole.replace(b"Content-Length", b"X-Length"),
+            "status": format_answer(body, status="503 Unavailable"),
+            "oversized": format_answer(b" " * 20_000),
+            "open chunks": chunked.replace(b"Content-Length", b"X-Length"),
+            "not HTTP": b"hello\r\n\r\n",
+            "nothing": b"",
+        }
+        for name, answer in cases.items():
+            with self.subTest(name), self.assertRaises(PlatformUnavailable):
+                self.read(answer)
+
+    def test_trickling_answer_ends_at_the_total_limit(self):
+        """Bytes just within the silence limit must not hold the reader for hours."""
+        answer = format_answer(json.dumps(LIST).encode())
+        with self.assertRaises(PlatformUnavailable):
+            self.read(answer, pause_s=0.1, part=1)
+
+    def test_silence_and_refused_connection(self):
+        with self.assertRaises(PlatformUnavailable):
+            self.read(b"HTTP/1.1 200 OK\r\n", pause_s=30)
+        client = HttpInstanceListClient(
+            url=f"http://{find_free_address()}", clock=SystemClock(), limits=LIMITS
+        )
+        with self.assertRaises(PlatformUnavailable):
+            client.read()
+
+    def test_connections_go_through_the_given_network(self):
+        """Tests of the fleet cut the link to the platform of one instance."""
+        server = self.serve(format_answer(json.dumps(LIST).encode()))
+        network, faults = make_faulty_network()
+        client = HttpInstanceListClient(
+            url=server.url, clock=SystemClock(), limits=LIMITS, connect=network.connect
+        )
+        self.assertEqual(len(client.read().instances), 1)
+        faults.cut(server.address)
+        with self.assertRaises(PlatformUnavailable):
+            client.read()
+
+
+class TestParseList(unittest.TestCase):
+    def test_each_problem_is_refused(self):
+        changes = [
+            {"instances": [INSTANCE, INSTANCE]},
+            {"instances": [INSTANCE | {"state": "up"}]},
+            {"instances": [INSTANCE | {"peer_address": "host:81"}]},
+            {"instances": [INSTANCE | {"id": ""}]},
+            {"instances": [INSTANCE | {"zone": None}]},
+            {"instances": {}},
+            {"upstreams": None},
+            {"upstreams": [[]]},
+        ]
+        for change in changes:
+            with self.subTest(change), self.assertRaises(MalformedAnswer):
+                parse_list(json.dumps(LIST | change).encode(), 0.0)
+        with self.assertRaises(MalformedAnswer):
+            parse_list(b'{"instances": [], "upstreams": [], "upstreams": []}', 0.0)
+        with self.assertRaises(MalformedAnswer):
+            parse_list(b"[" * 100_000, 0.0)
+
+    @given(st.binary(max_size=200))
+    def test_random_bytes_raise_only_malformed_answer(self, body):
+        with self.assertRaises(MalformedAnswer):
+            parse_list(body, 0.0)
+
+    @given(st.integers(0, 10_000), st.integers(0, 255))
+    def test_mutated_bytes_raise_only_malformed_answer(self, place, value):
+        body = bytearray(json.dumps(LIST).encode())
+        body[place % len(body)] = value
+        try:
+            parse_list(bytes(body), 0.0)
+        except MalformedAnswer:
+            pass
+
+
+class TestConfigurationClient(ClientCase):
+    def test_read_and_watch(self):
+        server = self.serve(format_answer(b"value", Revision=7))
+        client = HttpConfigurationClient(url=server.url + "/", limits=LIMITS)
+        self.assertEqual(client.read("manifest"), (7, b"value"))
+        self.assertEqual(client.watch("manifest", 6, 2.0), (7, b"value"))
+        self.assertEqual(
+            [request.target for request in server.received],
+            ["/v1/keys/manifest", "/v1/watch/manifest?after=6&timeout_ms=2000"],
+        )
+
+    def test_stale_or_unchanged_watch_is_no_change(self):
+        """A stale replica must not make an instance take an older revision."""
+        server = self.serve(format_answer(b"value", Revision=7))
+        client = HttpConfigurationClient(url=server.url, limits=LIMITS)
+        self.assertIsNone(client.watch("manifest", 7, 1.0))
+        self.assertIsNone(client.watch("manifest", 8, 1.0))
+        for status in ("204 No Content", "304 Not Modified"):
+            server.answer = format_answer(b"", status=status)
+            self.assertIsNone(client.watch("manifest", 7, 1.0))
+
+    def test_invalid_revisions_are_refused(self):
+        for revision in ("", "-1", "1.5", "x", "9" * 30, "²"):
+            server = self.serve(format_answer(b"v", Revision=revision))
+            client = HttpConfigurationClient(url=server.url, limits=LIMITS)
+            with self.subTest(revision), self.assertRaises(PlatformUnavailable):
+                client.read("manifest")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/rights/test_schedule.py
@@ -0,0 +1,159 @@
+"""Random schedules of faults over several instances."""
+
+import unittest
+
+from tests.rights.world import World
+
+LOAD_PER_STEP = 0.6
+
+
+class Schedule:
+    """Applies random faults; records breaches instead of raising."""
+
+    def __init__(self, seed, **changes):
+        self.world = World(seed, **changes)
+        self.random = self.world.random
+        self.double_loans, self.overloads, self.downs = 0, 0, []
+        self.world.run(12)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            if self.random.random() < 0.03:
+                self.random.choice(
+                    [self.kill, self.pause, self.part, self.heal, self.unlist]
+                    + [self.cut_list, self.restore, self.outage, self.lose, self.heal]
+                )()
+            self.revive()
+            self.send_load()
+            self.world.step()
+            self.double_loans += bool(self.world.find_double_loans())
+            self.overloads += bool(self.world.find_overloads())
+
+    def pick(self):
+        return self.random.choice(list(self.world.nodes))
+
+    def kill(self):
+        if len(self.world.nodes) < 4:
+            return
+        name = self.pick()
+        self.world.kill(name)
+        self.relist()
+        back_at = self.world.clock.now + self.random.choice([0.2, 3.0, 15.0])
+        self.downs.append((back_at, name))
+
+    def relist(self, without=()):
+        names = [n for n in self.world.nodes if n not in without]
+        self.world.set_listed(names)
+
+    def revive(self):
+        for back_at, name in list(self.downs):
+            if back_at <= self.world.clock.now:
+                self.downs.remove((back_at, name))
+                self.world.start(name)
+                self.relist()
+
+    def pause(self):
+        node = self.world.nodes[self.pick()]
+        node.paused_until = self.world.clock.now + self.random.choice([1.0, 5.0, 20.0])
+
+    def part(self):
+        side = set(self.random.sample(self.world.names, self.random.randint(1, 3)))
+        self.world.cut = {
+            frozenset((a, b)) for a in side for b in self.world.names if b not in side
+        }
+
+    def heal(self):
+        self.world.cut, self.world.loss = set(), 0.0
+
+    def unlist(self):
+        # The platform loses sight of an instance that reads the list itself.
+        name = self.pick()
+        if self.world.nodes[name].reads and self.world.platform_up:
+            self.relist(without=[name])
+
+    def cut_list(self):
+        self.world.nodes[self.pick()].reads = False
+
+    def restore(self):
+        self.world.platform_up = True
+        for node in self.world.nodes.values():
+            node.reads = True
+        self.relist()
+
+    def outage(self):
+        self.world.platform_up = False
+
+    def lose(self):
+        self.world.loss = 0.3
+
+    def send_load(self):
+        for node in list(self.world.nodes.values()):
+            awake = node.paused_until <= self.world.clock.now
+            if awake and self.random.random() < LOAD_PER_STEP:
+                upstream = self.random.choice(self.world.upstreams)
+                hold_s = self.random.choice([0.1, 0.5, 2.0, 8.0])
+                self.world.request(node, upstream, hold_s, **self.vary())
+
+    def vary(self):
+        """Return what differs from the usual demand."""
+        return {}
+
+
+class RecallSchedule(Schedule):
+    """One customer surges; others recall its slots."""
+
+    def vary(self):
+        customer = self.random.choice(["loud"] * 6 + ["one", "two"])
+        return {"customer": customer, "recallable": True}
+
+
+class TestSchedule(unittest.TestCase):
+    def test_limits_hold_under_faults(self):
+        """Guards against two homes that together exceed an upstream's limit."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                schedule = Schedule(seed)
+                schedule.run(60)
+                self.assertGreater(schedule.world.granted, 50)
+                self.assertEqual(schedule.double_loans, 0)
+                self.assertEqual(schedule.overloads, 0)
+
+    def test_limits_hold_in_a_panel_of_one_zone(self):
+        """Guards against shares lent twice where panels switch to the region.
+
+        Kills and unlistings take the zone below 8 instances and back.
+        """
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                schedule = Schedule(seed, size=9, upstreams=4, zones=1)
+                schedule.run(40)
+                self.assertGreater(schedule.world.granted, 50)
+                self.assertEqual(schedule.double_loans, 0)
+                self.assertEqual(schedule.overloads, 0)
+
+    def test_limits_hold_while_slots_are_recalled(self):
+        """Guards against recalled slots granted while their requests still run."""
+        recalled = 0
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                schedule = RecallSchedule(seed)
+                schedule.run(60)
+                recalled += schedule.world.recalled
+                self.assertEqual(schedule.overloads, 0)
+        self.assertGreater(recalled, 50)
+
+    def test_checker_sees_missing_hold_down(self):
+        """Guards against a checker that passes whatever the code does.
+
+        Of the seeds 0 to 15, those that find double loans are 6, 9 and 15.
+        """
+        found = 0
+        for seed in range(5, 11):
+            schedule = Schedule(seed, share_hold_down_ms=0)
+            schedule.run(60)
+            found += schedule.double_loans
+        self.assertGreater(found, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
