--- a/src/fescueflow/node/assembly.py
+++ b/src/fescueflow/node/assembly.py
@@ -2,7 +2,6 @@
 
 import sys
 import threading
-from dataclasses import dataclass
 
 from fescueflow.admission import AdmissionService, HttpLoadReader
 from fescueflow.api import HttpServer, make_application
@@ -23,6 +22,13 @@
     PauseDetector,
 )
 from fescueflow.metrics import Metrics
+from fescueflow.node.components import (
+    Communication,
+    Components,
+    Control,
+    Foundation,
+    Service,
+)
 from fescueflow.placement import LeaveTracker, PlacementService, RecentPrefixes
 from fescueflow.platform import HttpConfigurationClient, HttpInstanceListClient
 from fescueflow.requests import RequestService
@@ -39,66 +45,6 @@
 LOAD_REPORT_TIMEOUT_S = 1.0
 
 
-@dataclass(frozen=True)
-class Foundation:
-    """Parts without a task of their own that the others share."""
-
-    settings: Settings
-    network: Network
-    clock: Clock
-    randomness: Randomness
-    incarnation: Incarnation
-    metrics: Metrics
-    audit: AuditTrail
-    invariants: Invariants
-    keyring: Keyring
-    pauses: PauseDetector
-    ready: threading.Event
-
-
-@dataclass(frozen=True)
-class Communication:
-    """Links to other instances and to the platform."""
-
-    endpoint: DatagramEndpoint
-    frame_server: FrameServer
-    frame_client: FrameClient
-    list_service: ListService
-    membership: MembershipService
-    list_relay: ListRelay
-
-
-@dataclass(frozen=True)
-class Control:
-    """Configuration, rights, admission and placement."""
-
-    store: ConfigurationStore
-    configuration: ConfigurationService
-    rights: RightsService
-    admission: AdmissionService
-    placement: PlacementService
-
-
-@dataclass(frozen=True)
-class Service:
-    """Parts that serve callers."""
-
-    requests: RequestService
-    transfers: PrefixTransfers
-    dispatcher: Dispatcher
-    http_server: HttpServer
-
-
-@dataclass(frozen=True)
-class Components:
-    """All components of one instance."""
-
-    foundation: Foundation
-    communication: Communication
-    control: Control
-    service: Service
-
-
 def write_audit_line(line: str) -> None:
     """Write one audit record to standard output at once."""
     sys.stdout.write(line + "\n")
--- /dev/null
+++ b/src/fescueflow/node/components.py
@@ -0,0 +1,93 @@
+"""Groups of components of one instance, from the shared parts to the service."""
+
+import threading
+from dataclasses import dataclass
+
+from fescueflow.admission import AdmissionService
+from fescueflow.api import HttpServer
+from fescueflow.audit import AuditTrail
+from fescueflow.configuration import ConfigurationService, ConfigurationStore
+from fescueflow.core import Clock, Incarnation, Randomness
+from fescueflow.delivery import Dispatcher, PrefixTransfers
+from fescueflow.invariants import Invariants
+from fescueflow.membership import (
+    ListRelay,
+    ListService,
+    MembershipService,
+    PauseDetector,
+)
+from fescueflow.metrics import Metrics
+from fescueflow.placement import PlacementService
+from fescueflow.requests import RequestService
+from fescueflow.rights import RightsService
+from fescueflow.settings import Settings
+from fescueflow.transport import (
+    DatagramEndpoint,
+    FrameClient,
+    FrameServer,
+    Keyring,
+    Network,
+)
+
+
+@dataclass(frozen=True)
+class Foundation:
+    """Parts without a task of their own that the others share."""
+
+    settings: Settings
+    network: Network
+    clock: Clock
+    randomness: Randomness
+    incarnation: Incarnation
+    metrics: Metrics
+    audit: AuditTrail
+    invariants: Invariants
+    keyring: Keyring
+    pauses: PauseDetector
+    ready: threading.Event
+
+
+@dataclass(frozen=True)
+class Communication:
+    """Links to other instances and to the platform."""
+
+    endpoint: DatagramEndpoint
+    frame_server: FrameServer
+    frame_client: FrameClient
+    list_service: ListService
+    membership: MembershipService
+    list_relay: ListRelay
+
+
+@dataclass(frozen=True)
+class Control:
+    """Configuration, rights, admission and placement."""
+
+    store: ConfigurationStore
+    configuration: ConfigurationService
+    rights: RightsService
+    admission: AdmissionService
+    placement: PlacementService
+
+
+@dataclass(frozen=True)
+class Service:
+    """Parts that serve callers."""
+
+    requests: RequestService
+    transfers: PrefixTransfers
+    dispatcher: Dispatcher
+    http_server: HttpServer
+
+
+@dataclass(frozen=True)
+class Components:
+    """All components of one instance."""
+
+    foundation: Foundation
+    communication: Communication
+    control: Control
+    service: Service
+
+
+__all__ = ["Communication", "Components", "Control", "Foundation", "Service"]
