--- a/src/fescueflow/admission/checks.py
+++ b/src/fescueflow/admission/checks.py
@@ -1,6 +1,6 @@
 """Invariants that hold at every grant."""
 
-from fescueflow.admission.gate import Allowance, Gate
+from fescueflow.admission.gate import Gate, SlotCapacity
 from fescueflow.admission.grants import GrantedSlot
 from fescueflow.admission.loads import GroupLoad
 from fescueflow.configuration import Configuration
@@ -12,7 +12,7 @@
     invariants: Invariants,
     configuration: Configuration | None,
     gate: Gate,
-    allowance: Allowance,
+    capacity: SlotCapacity,
     load: GroupLoad,
     known: int,
     slot: GrantedSlot,
@@ -26,7 +26,7 @@
         Read after the grant was decided.
     gate : Gate
         Contains the granted slot.
-    allowance : Allowance
+    capacity : SlotCapacity
     load : GroupLoad
     known : int
         Known load of the upstream before the grant.
@@ -34,9 +34,9 @@
     """
     check = invariants.check
     name, zone = gate.upstream.id, gate.upstream.zone
-    own, limit = gate.count_own(), gate.ramp.limit
-    rights = allowance.count_rights()
-    backed = slot.start_by <= allowance.get_lease_end(own)
+    own, limit = gate.count_own(), min(gate.ramp.limit, gate.ramp.limit_max)
+    rights = capacity.count_rights()
+    backed = slot.start_by <= capacity.get_lease_end(own)
     within = own <= rights and backed
     fields = {"upstream": name, "own": own}
     check(Invariant.SLOTS_WITHIN_RIGHTS, within, rights=rights, **fields)
--- a/src/fescueflow/admission/gate.py
+++ b/src/fescueflow/admission/gate.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True)
-class Allowance:
+class SlotCapacity:
     """How many slots may be in use, and the leases that back them."""
 
     slots: int
@@ -268,7 +268,7 @@
         unseen = sum(slot.start_by > counted_from for slot in self.slots.values())
         return min(granted, self.report.in_flight + unseen + len(self._reclaimed))
 
-    def compute_allowance(self, shares: LeasedShares, now: float) -> Allowance:
+    def compute_capacity(self, shares: LeasedShares, now: float) -> SlotCapacity:
         """Return how many slots may be in use now.
 
         Notes
@@ -283,7 +283,7 @@
             horizon = now - self._times.renew_s
         limit = self.ramp.limit
         if shares.home_since > horizon:
-            return Allowance(0, (), limit)
+            return SlotCapacity(0, (), limit)
         leases = tuple(
             x for x in shares.leases if x.acquired_at <= horizon and x.expires_at > now
         )
@@ -293,7 +293,7 @@
             allowed = min(allowed, self._limit_by_report(slots, leases, now))
         else:
             allowed = min(allowed, limit - self.count_foreign(now))
-        return Allowance(max(0, allowed), leases, limit)
+        return SlotCapacity(max(0, allowed), leases, limit)
 
     def choose_next(self, shares: LeasedShares, now: float) -> Waiter | None:
         """Return the entry to serve next.
@@ -306,7 +306,7 @@
             if reserved is not None:
                 return reserved
             return self.queue.get_next(self.usage.find_heavy(now))
-        slots = self.compute_allowance(shares, now).slots
+        slots = self.compute_capacity(shares, now).slots
         return self.queue.get_next((), self._find_restrained(slots, now))
 
     def _find_restrained(self, slots: int, now: float) -> set[CustomerId]:
@@ -317,11 +317,11 @@
         """Return the slots to ask back for entries that wait.
 
         A slot that is given back helps only while the slots in use are within
-        the allowance.
+        the capacity.
         """
         own = self.count_own()
-        allowance = self.compute_allowance(shares, now)
-        if own > allowance.slots or allowance.get_lease_end(own) <= now:
+        capacity = self.compute_capacity(shares, now)
+        if own > capacity.slots or capacity.get_lease_end(own) <= now:
             return []
         waiters, heavy = self.queue.list_waiters(), self.usage.find_heavy(now)
         return self.recalls.plan(waiters, self.slots, heavy, now)
@@ -334,7 +334,7 @@
         0 if a slot is free for it, or if the customer is not heavy.
         """
         ahead = self.queue.count_ahead(waiter, self.usage.find_heavy(now))
-        slots = self.compute_allowance(shares, now).slots
+        slots = self.compute_capacity(shares, now).slots
         if not slots:
             return 0.0
         customer = waiter.demand.customer
@@ -392,4 +392,4 @@
         return (ahead + 1) * span / len(self._completions)
 
 
-__all__ = ["Allowance", "Gate", "GateTimes"]
+__all__ = ["SlotCapacity", "Gate", "GateTimes"]
--- a/src/fescueflow/admission/home.py
+++ b/src/fescueflow/admission/home.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from fescueflow.admission.checks import check_grant
-from fescueflow.admission.gate import Allowance, Gate, GateTimes
+from fescueflow.admission.gate import Gate, GateTimes, SlotCapacity
 from fescueflow.admission.grants import GrantedSlot, make_slot
 from fescueflow.admission.loads import DigestBook, GroupLoad, is_in_service
 from fescueflow.admission.queue import Waiter
@@ -235,26 +235,26 @@
                 gate.queue.remove(waiter, served=False)
                 self._answer(waiter, SlotRefusalReason.WAIT_EXPIRED)
                 continue
-            allowance = gate.compute_allowance(shares, now)
-            slot = self._grant(gate, waiter, allowance, load, now)
+            capacity = gate.compute_capacity(shares, now)
+            slot = self._grant(gate, waiter, capacity, load, now)
             if slot is None:
                 return
             known = gate.count_known(now) - 1
             check_grant(
-                self._invariants, configuration, gate, allowance, load, known, slot
+                self._invariants, configuration, gate, capacity, load, known, slot
             )
 
     def _grant(
         self,
         gate: Gate,
         entry: Waiter,
-        allowance: Allowance,
+        capacity: SlotCapacity,
         load: GroupLoad,
         now: float,
     ) -> GrantedSlot | None:
         in_use = gate.count_own() + 1
-        lease_end = allowance.get_lease_end(in_use)
-        within = in_use <= allowance.slots and lease_end > now
+        lease_end = capacity.get_lease_end(in_use)
+        within = in_use <= capacity.slots and lease_end > now
         if not within or not load.allows(gate.count_known(now)):
             return None
         start_by = min(lease_end, now + START_WITHIN_MAX_S, entry.deadline)
--- a/src/fescueflow/admission/ramp.py
+++ b/src/fescueflow/admission/ramp.py
@@ -56,6 +56,11 @@
         """Whether the limit is below the warm limit."""
         return self.limit < self._warm_limit
 
+    @property
+    def limit_max(self) -> int:
+        """Largest limit that the latest load report admits."""
+        return self._cold_limit if self._reported_cold else self._warm_limit
+
     def configure(self, group: Group) -> None:
         """Take over the limits of a new configuration."""
         was_cold = self.cold or self._reported_cold
--- a/src/fescueflow/membership/sources.py
+++ b/src/fescueflow/membership/sources.py
@@ -44,7 +44,7 @@
         return wire_time / MICROSECONDS + self.get_offset(now)
 
     def get_offset(self, now: float) -> float:
-        """Return the least offset now, with allowance for drift."""
+        """Return the least offset now, less the largest drift."""
         return self.offset_s - DRIFT * max(0.0, now - self.made_at)
 
 
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -152,7 +152,7 @@
             ramp.complete(0.1)
         self.assertEqual(ramp.limit, 4)
         self.assertEqual(ramp.apply_report(self.report(warm=False)), "reported_cold")
-        self.assertEqual(ramp.limit, 2)
+        self.assertEqual((ramp.limit, ramp.limit_max), (2, 2))
         ramp.restart()
         self.assertIsNone(ramp.apply_report(self.report(warm=False)))
         self.assertEqual(ramp.limit, 2)
@@ -208,9 +208,9 @@
         gate.add_slot(GrantedSlot(1, "k", ("i", 1), 1.0, 1.5, 90.0, "c", 1), 1.0)
         gate.reclaim_slot(1, 3.0)
         gate.apply_report(LoadReport("e", 1, True, 2.9))
-        self.assertEqual(gate.compute_allowance(self.make_shares(), 3.1).slots, 0)
+        self.assertEqual(gate.compute_capacity(self.make_shares(), 3.1).slots, 0)
         gate.apply_report(LoadReport("e", 1, True, 4.5))
-        self.assertEqual(gate.compute_allowance(self.make_shares(), 4.6).slots, 15)
+        self.assertEqual(gate.compute_capacity(self.make_shares(), 4.6).slots, 15)
 
     def test_unused_slot_is_not_taken_for_a_running_request(self):
         """Guards against foreign load hidden by a slot that was never started."""
@@ -218,9 +218,9 @@
         gate.begin(0.0)
         gate.add_slot(GrantedSlot(1, "k", ("i", 1), 1.0, 1.5, 90.0, "c", 1), 1.0)
         gate.apply_report(LoadReport("e", 4, True, 2.0))
-        self.assertEqual(gate.compute_allowance(self.make_shares(), 2.1).slots, 13)
+        self.assertEqual(gate.compute_capacity(self.make_shares(), 2.1).slots, 13)
         gate.remove_slot(1, 2.2)
-        self.assertEqual(gate.compute_allowance(self.make_shares(), 2.3).slots, 12)
+        self.assertEqual(gate.compute_capacity(self.make_shares(), 2.3).slots, 12)
 
     def test_report_is_dated_back(self):
         """Guards against an old report that is taken for a new one."""
