Keep make test under five minutes; long runs with LONG=1

Cause: the last continuous integration run took 589 s. Tests of real fleets took most of it (of 600 s on 8 busy cores, about 370 s).

Change: tests of real fleets that take about 10 s or more are marked long_run. make test names them and leaves them out; make test LONG=1 runs them. No test, bound or seed changes.

--- a/tests/guarantees/test_at_most_once.py
+++ b/tests/guarantees/test_at_most_once.py
@@ -13,6 +13,7 @@
     count_runs,
     run_callers,
 )
+from tests.selection import long_run
 from tests.standins.deployment import LEDGER, make_configuration
 from tests.standins.faults import Fault
 from tests.standins.fleet import FleetError
@@ -209,6 +210,7 @@
             operations[0]["idempotent"] = idempotent
         self.wait_revision(self.deployment.configuration.publish(sections))
 
+    @long_run
     def test_random_schedule(self):
         """Guards against a second run under faults in an order that nobody chose."""
         print(f"\nseed {SEED}", flush=True)
--- a/tests/guarantees/test_cache_transfer.py
+++ b/tests/guarantees/test_cache_transfer.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from tests.guarantees.load_case import LoadCase
+from tests.selection import long_run
 from tests.standins.cache_exchange import TransferMode
 from tests.standins.caller import Caller
 from tests.standins.content import make_answer, make_message
@@ -49,6 +50,7 @@
         self.deployment.instance_list.mark_leaving(leaving)
         return leaving, [chat for chat in chats if first[chat] == leaving]
 
+    @long_run
     def test_chats_return_to_a_warm_prefix_after_a_leave(self):
         """Guards against prefixes that are computed again after a planned leave."""
         with self.run_fleet(PRESET) as fleet:
@@ -73,6 +75,7 @@
             late = [e for e in exports if e.started_at > shown_at + BOUND_S]
             self.assertEqual(late, [])
 
+    @long_run
     def test_silent_imports_hold_up_no_request(self):
         """Guards against requests that fail or wait because an import does."""
         with self.run_fleet(PRESET) as fleet:
--- a/tests/guarantees/test_cold_start.py
+++ b/tests/guarantees/test_cold_start.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from tests.guarantees.load_case import GENEROUS_S, START_WITHIN_S, LoadCase
+from tests.selection import long_run
 from tests.standins.deployment import ENGINES, FIRST_USER, get_region
 from tests.standins.engine import EngineOptions, EngineStandin
 from tests.standins.faults import Fault
@@ -49,6 +50,7 @@
         for name, engine in self.deployment.engines.items():
             self.assertEqual(engine.state.cold_breaches, [], name)
 
+    @long_run
     def test_never_above_the_limit_from_the_first_request(self):
         """Guards against a stampede of all instances on a new engine."""
         with self.run_fleet(COLD):
@@ -59,6 +61,7 @@
             self.assertGreaterEqual(joined.state.peak, COLD_LIMIT)
             self.check_never_above()
 
+    @long_run
     def test_never_above_the_limit_in_a_partition(self):
         """Guards against one cold limit per side of a partition."""
         with self.run_fleet(WARM) as fleet:
@@ -75,6 +78,7 @@
             self.wait_warm(*joined)
             self.check_never_above()
 
+    @long_run
     def test_warm_engines_turn_cold_without_notice(self):
         """Guards against load on an engine that refuses or reports to be cold.
 
--- a/tests/guarantees/test_graceful_shutdown.py
+++ b/tests/guarantees/test_graceful_shutdown.py
@@ -3,6 +3,7 @@
 import threading
 
 from tests.guarantees.fleet_case import BOUND_S, FleetCase, run_callers
+from tests.selection import long_run
 from tests.standins.deployment import LEDGER
 from tests.standins.results import count_kinds
 
@@ -16,6 +17,7 @@
 class GracefulShutdownTest(FleetCase):
     """Guards against requests that are lost when an instance is replaced."""
 
+    @long_run
     def test_rolling_restart_of_all_instances(self):
         ended = threading.Event()
         engines = self.deployment.engines.values()
--- a/tests/guarantees/test_leaving_upstream.py
+++ b/tests/guarantees/test_leaving_upstream.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from tests.guarantees.load_case import GENEROUS_S, LoadCase
+from tests.selection import long_run
 from tests.standins.deployment import FIRST_USER
 from tests.standins.engine import EngineOptions
 from tests.standins.plain_service import ServiceOptions
@@ -64,6 +65,7 @@
         ]
         self.assertEqual({entry.result for entry in entries}, {"completed"})
 
+    @long_run
     def test_with_a_lagging_list_and_return(self):
         """Guards against work for an upstream that is about to end."""
         timings = {"list_lag_max_ms": 3000, "share_hold_down_ms": 5000}
@@ -84,6 +86,7 @@
             )
             self.finish_loads()
 
+    @long_run
     def test_with_a_home_without_the_list_and_a_frozen_home(self):
         """Guards against homes that work with the list from before."""
         with self.run_fleet(PRESET) as fleet:
--- a/tests/guarantees/test_load_bound.py
+++ b/tests/guarantees/test_load_bound.py
@@ -10,6 +10,7 @@
     LoadCase,
     judge_load_bound,
 )
+from tests.selection import long_run
 from tests.standins.deployment import FIRST_USER
 from tests.standins.engine import EngineOptions
 
@@ -31,6 +32,7 @@
         self.assertEqual(judge_load_bound(engines), [])
         return peaks
 
+    @long_run
     def test_skewed_load_and_a_surging_customer(self):
         """Guards against herding on the first candidate and late limits.
 
@@ -48,6 +50,7 @@
             peaks = self.judge()
             self.assertEqual(max(peaks.values()), LIMIT, "the limit was not reached")
 
+    @long_run
     def test_partition_in_which_both_sides_serve(self):
         """Guards against two homes that together exceed the limit."""
         with self.run_fleet(PRESET) as fleet:
@@ -75,6 +78,7 @@
         results = [r for at, r in list(self.loads[0].results) if at > since]
         return sum(r.whole and r.instance in names for r in results)
 
+    @long_run
     def test_homes_flap_and_a_frozen_home_wakes(self):
         """Guards against slots that a former home still grants."""
         with self.run_fleet(PRESET) as fleet:
--- a/tests/guarantees/test_true_refusal.py
+++ b/tests/guarantees/test_true_refusal.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from tests.guarantees.fleet_case import BOUND_S, PRESET, FleetCase, run_callers
+from tests.selection import long_run
 from tests.standins.deployment import LEDGER
 from tests.standins.faults import Fault
 from tests.standins.plain_service import ServiceOptions
@@ -165,6 +166,7 @@
 class RefusalUnderFaultsTest(RefusalCase):
     """Guards against ``not_run`` for a request that ran or runs later."""
 
+    @long_run
     def test_refusals_under_faults(self):
         print(f"\nseed {SEED}", flush=True)
         rngs = [random.Random(f"{SEED}.{n}") for n in range(CALLERS + 1)]
@@ -231,6 +233,7 @@
         self.fleet.kill(name)
         self.fleet.restart(name)
 
+    @long_run
     def test_frozen_instance_wakes_with_requests_in_hand(self):
         owner, ids = self.mint(40)
         others = [name for name in self.ids if name != owner]
--- a/tests/guarantees/test_whole_answer.py
+++ b/tests/guarantees/test_whole_answer.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from tests.guarantees.fleet_case import BOUND_S, PRESET, FleetCase, run_callers
+from tests.selection import long_run
 from tests.standins.content import make_answer, make_service_answer, make_tokens
 from tests.standins.deployment import LEDGER
 from tests.standins.faults import Fault
@@ -93,6 +94,7 @@
 class FaultyUpstreamTest(WholeAnswerCase):
     """Guards against bytes of another request, and missing or doubled ones."""
 
+    @long_run
     def test_faulty_answers(self):
         faults = [Fault.TRUNCATED, Fault.UNDELIMITED, Fault.CROSSED, Fault.CUT]
         faults += [Fault.DUPLICATED_TOKEN, Fault.CLOSE_BEFORE_ANSWER]
--- a/tests/guarantees/test_withdrawn_zone.py
+++ b/tests/guarantees/test_withdrawn_zone.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from tests.guarantees.load_case import GENEROUS_S, LoadCase
+from tests.selection import long_run
 from tests.standins.caller import Caller
 from tests.standins.deployment import FIRST_USER, LEDGER
 from tests.standins.engine import EngineOptions
@@ -82,6 +83,7 @@
         for load in self.loads:
             load.wait_whole(20)
 
+    @long_run
     def test_zone_returns_after_a_withdrawal_with_a_cut_link(self):
         """Guards against an instance without the service that keeps the zone."""
         with self.run_fleet(PRESET) as fleet:
@@ -109,6 +111,7 @@
         used = self.list_starts(upstreams, since).keys()
         return used == upstreams.keys() and serving & set(self.fleet.get_zone(ZONE))
 
+    @long_run
     def test_frozen_instances_wake_after_the_withdrawal(self):
         """Guards against a home that wakes with the configuration from before."""
         with self.run_fleet(PRESET) as fleet:
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+from tests.selection import long_run
 from tests.soak.callers import AttemptEvent
 from tests.soak.evidence import Evidence
 from tests.soak.faults import FaultSpan
@@ -245,6 +246,7 @@
         held = SoakRun(seed, CI_SECONDS, lines.append, CI_THREADS).run()
         self.assertTrue(held, "\n".join(lines))
 
+    @long_run
     def test_seed_2(self):
         self.check_seed(2)
 
