Let an instance that never held a share hold up nobody

Cause: an instance gains shares only after every listed instance of the panel was seen reading the list, because one that can't read it may lend what it held before. An instance that lost the platform in the first second of a fleet was never seen, and the whole fleet stayed without shares: 8 of 9 instances held none after 70 to 110 s, homes refused with noShares.

Change: heartbeats carry neverHeld. An incarnation that has said for a hold-down that it never held a share and can't read the list counts as informed: it has nothing to lend, it sees who is listed before it can gain anything, and the leases of an earlier incarnation have ended. The field is false at senders that don't know it, so they count as before.

--- a/src/fescueflow/membership/members.py
+++ b/src/fescueflow/membership/members.py
@@ -24,7 +24,8 @@
 class Member:
     """An instance as this instance knows it.
 
-    ``sequence`` grows with each heartbeat interval of the member.
+    ``sequence`` grows with each heartbeat interval of the member. ``never_held``
+    says that this incarnation has not held a share of any upstream so far.
     """
 
     instance: InstanceId
@@ -38,6 +39,7 @@
     revision: Revision
     adopted: tuple[tuple[InstanceId, Incarnation], ...]
     list_readable: bool
+    never_held: bool = False
 
     def to_record(self) -> MemberRecord:
         """Return the wire record."""
@@ -53,6 +55,7 @@
             self.revision,
             [AdoptedOwner(name, number) for name, number in self.adopted],
             self.list_readable,
+            self.never_held,
         )
 
 
@@ -99,6 +102,7 @@
         Revision(record.revision),
         tuple((InstanceId(a.instance), Incarnation(a.incarnation)) for a in adopted),
         record.list_readable,
+        record.never_held,
     )
 
 
--- a/src/fescueflow/membership/service.py
+++ b/src/fescueflow/membership/service.py
@@ -187,6 +187,12 @@
             sequence = self._own.sequence + 1
             self._own = replace(self._own, revision=revision, sequence=sequence)
 
+    def set_never_held(self, never_held: bool) -> None:
+        """Set whether heartbeats say that this instance never held a share."""
+        with self._lock:
+            sequence = self._own.sequence + 1
+            self._own = replace(self._own, never_held=never_held, sequence=sequence)
+
     def add_adopted(self, instance: InstanceId, incarnation: Incarnation) -> None:
         """Tell the others that this instance answers for another incarnation.
 
--- a/src/fescueflow/rights/holdings.py
+++ b/src/fescueflow/rights/holdings.py
@@ -1,10 +1,11 @@
 """Which shares this instance holds, from its own readings of the list."""
 
 import threading
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from fescueflow.core import (
+    Incarnation,
     InstanceId,
     ListState,
     UpstreamId,
@@ -45,10 +46,12 @@
     """What the heartbeat view says about other instances at a reading.
 
     ``readers`` read the list now; ``cut_off`` are alive but can't read it.
+    ``idle`` are the incarnations of ``cut_off`` that never held a share.
     """
 
     readers: frozenset[InstanceId] = field(default_factory=frozenset)
     cut_off: frozenset[InstanceId] = field(default_factory=frozenset)
+    idle: frozenset[tuple[InstanceId, Incarnation]] = field(default_factory=frozenset)
 
 
 @dataclass
@@ -118,6 +121,9 @@
       Nothing is gained until it was seen reading, or is no longer listed. The
       same holds for the members of both panels when the panel changes between
       zone and region, because then shares move without a change of their holder.
+      An incarnation that has said for a hold-down that it never held a share and
+      can't read the list has nothing to lend. It holds up nobody: if it reads the
+      list later, it sees this instance in it.
     - An instance that the list dropped, but that still sends heartbeats without
       being able to read the list, keeps its shares until either changes.
 
@@ -130,15 +136,25 @@
         change and its reversal may have gone unseen.
     lag_s : float
         Greatest lag of the list.
+    before_gain : callable, optional
+        Called before the first share is held.
     """
 
     def __init__(
-        self, own: InstanceId, hold_down_s: float, reading_gap_s: float, lag_s: float
+        self,
+        own: InstanceId,
+        hold_down_s: float,
+        reading_gap_s: float,
+        lag_s: float,
+        before_gain: Callable[[], None] = lambda: None,
     ) -> None:
         self._own = own
         self._hold_down_s = hold_down_s
         self._reading_gap_s = reading_gap_s
         self._informed_after_s = lag_s + reading_gap_s
+        self._before_gain = before_gain
+        self._has_held = False
+        self._idle_since: dict[tuple[InstanceId, Incarnation], float] = {}
         self._lock = threading.Lock()
         self._live: frozenset[InstanceId] = frozenset()
         self._addresses: dict[InstanceId, str] = {}
@@ -287,6 +303,7 @@
             self._listed_since = None
         elif self._listed_since is None:
             self._listed_since = now
+        self._idle_since = {p: self._idle_since.get(p, now) for p in peers.idle}
         for scope in self._scopes.values():
             if self._listed_since is None:
                 scope.informed.clear()
@@ -295,6 +312,19 @@
             since = max(self._listed_since, scope.switched_at)
             if now - since >= self._informed_after_s:
                 scope.informed |= live & peers.readers
+                scope.informed |= live & self._find_idle(since, now)
+
+    def _find_idle(self, since: float, now: float) -> set[InstanceId]:
+        """Return the instances that have had nothing to lend for long enough.
+
+        Leases that an earlier incarnation granted have ended after a hold-down.
+        """
+        limit = now - self._informed_after_s - self._hold_down_s
+        return {
+            instance
+            for (instance, _), idle_since in self._idle_since.items()
+            if max(idle_since, since) <= limit
+        }
 
     def _gain_shares(
         self,
@@ -315,7 +345,11 @@
             if now - record.won_since < self._hold_down_s:
                 continue
             former = find_top(record.key, unlisted_peers)
-            record.held = former is None or former < record.top
+            if former is None or former < record.top:
+                if not self._has_held:
+                    self._has_held = True
+                    self._before_gain()
+                record.held = True
 
 
 __all__ = ["PeerView", "ShareTable", "find_top"]
--- a/src/fescueflow/rights/service.py
+++ b/src/fescueflow/rights/service.py
@@ -93,7 +93,9 @@
             settings.share_hold_down_ms / 1000,
             READING_GAP_INTERVALS * settings.list_interval_ms / 1000,
             settings.list_lag_max_ms / 1000,
+            lambda: membership.set_never_held(False),
         )
+        membership.set_never_held(True)
         self._lending = LendingBook(self._lease_s)
         first = membership.get_own().incarnation & SEQUENCE_MASK
         self._leases = LeaseBook(self._lease_s, first)
@@ -150,14 +152,14 @@
     def is_home(self, upstream: ListedUpstream) -> bool:
         """Return whether this instance admits work for an upstream."""
         home = self._homes.choose(upstream)
-        return home is not None and home.instance == self._get_own_id()
+        return home is not None and home.instance == self._own_id
 
     def list_homes(self) -> list[ListedUpstream]:
         """Return the upstreams whose home is this instance."""
         snapshot = self._list_service.get_snapshot()
         if snapshot is None:
             return []
-        return self._homes.list_homes_of(self._get_own_id(), snapshot.upstreams)
+        return self._homes.list_homes_of(self._own_id, snapshot.upstreams)
 
     def get_shares(self, upstream_id: UpstreamId) -> LeasedShares:
         """Return the shares that may be used now, none when fenced or not home.
@@ -290,15 +292,17 @@
         self._homes.invalidate()
         self._wake.set()
 
-    def _get_own_id(self) -> InstanceId:
-        return self._own_id
-
     def _take_snapshot(self, snapshot: ListSnapshot) -> None:
-        own = self._get_own_id()
+        own = self._own_id
         members = [m for m in self._membership.get_members() if m.instance != own]
         peers = PeerView(
             frozenset(m.instance for m in members if m.list_readable),
             frozenset(m.instance for m in members if not m.list_readable),
+            frozenset(
+                (m.instance, m.incarnation)
+                for m in members
+                if m.never_held and not m.list_readable
+            ),
         )
         self._table.apply(snapshot, peers)
         self._fence.note_reading(snapshot.read_at)
--- a/src/fescueflow/schema/converters_generated.py
+++ b/src/fescueflow/schema/converters_generated.py
@@ -89,6 +89,7 @@
         reader.revision,
         [read_adopted_owner(item) for item in reader.adopted],
         reader.listReadable,
+        reader.neverHeld,
     )
 
 
@@ -108,6 +109,7 @@
         for number, item in enumerate(value.adopted):
             write_adopted_owner(rows[number], item)
     builder.listReadable = value.list_readable
+    builder.neverHeld = value.never_held
 
 
 def read_ping(reader: Any) -> Ping:
--- a/src/fescueflow/schema/messages.capnp
+++ b/src/fescueflow/schema/messages.capnp
@@ -29,6 +29,7 @@
   revision @8 :UInt64;
   adopted @9 :List(AdoptedOwner);
   listReadable @10 :Bool;
+  neverHeld @11 :Bool;
 }
 
 struct Ping {
--- a/src/fescueflow/schema/messages_generated.py
+++ b/src/fescueflow/schema/messages_generated.py
@@ -62,6 +62,7 @@
     revision: int = 0
     adopted: list[AdoptedOwner] = field(default_factory=list)
     list_readable: bool = False
+    never_held: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/rights/test_schedule.py
+++ b/tests/rights/test_schedule.py
@@ -14,8 +14,12 @@
         self.world = World(seed, **changes)
         self.random = self.world.random
         self.double_loans, self.overloads, self.downs = 0, 0, []
+        self.prepare()
         self.world.run(12)
 
+    def prepare(self):
+        """Change the world before its start."""
+
     def run(self, seconds):
         for _ in range(round(seconds / 0.05)):
             if self.random.random() < 0.03:
@@ -51,6 +55,10 @@
                 self.downs.remove((back_at, name))
                 self.world.start(name)
                 self.relist()
+                self.note_start(name)
+
+    def note_start(self, name):
+        """Change an instance that was just started."""
 
     def pause(self):
         node = self.world.nodes[self.pick()]
@@ -107,6 +115,17 @@
         return {"customer": customer, "recallable": True}
 
 
+class CutOffSchedule(Schedule):
+    """Instances start without a link to the platform, and most get one later."""
+
+    def prepare(self):
+        for name in self.random.sample(self.world.names, 2):
+            self.world.nodes[name].reads = False
+
+    def note_start(self, name):
+        self.world.nodes[name].reads = self.random.random() < 0.5
+
+
 class TestSchedule(unittest.TestCase):
     def test_limits_hold_under_faults(self):
         """Guards against two homes that together exceed an upstream's limit."""
@@ -131,6 +150,16 @@
                 self.assertEqual(schedule.double_loans, 0)
                 self.assertEqual(schedule.overloads, 0)
 
+    def test_limits_hold_where_instances_start_cut_off(self):
+        """Guards against shares gained from a holder that can't read the list."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                schedule = CutOffSchedule(seed)
+                schedule.run(60)
+                self.assertGreater(schedule.world.granted, 50)
+                self.assertEqual(schedule.double_loans, 0)
+                self.assertEqual(schedule.overloads, 0)
+
     def test_limits_hold_while_slots_are_recalled(self):
         """Guards against recalled slots granted while their requests still run."""
         recalled = 0
--- a/tests/rights/test_service.py
+++ b/tests/rights/test_service.py
@@ -91,6 +91,30 @@
         self.world.run(4)
         self.assertEqual(sum(total_slots(self.world, "u0")), 8)
 
+    def test_instance_that_never_read_the_list_keeps_only_its_own_shares(self):
+        """Guards against a fleet that starts without capacity for one instance.
+
+        Seen with a fleet of processes: an instance that lost its link to the
+        platform in the first second of a fleet kept all others from gaining
+        shares until the link was back.
+        """
+        cut_off = self.world.nodes["i0"]
+        cut_off.reads = False
+        self.world.run(30)
+        names = [upstream.id for upstream in self.world.upstreams]
+        slots = sum(sum(total_slots(self.world, name)) for name in names)
+        kept = sum(
+            record.top[1] == "i0"
+            for record in self.world.nodes["i1"].rights._table._all_records()
+        )
+        self.assertGreater(kept, 0)
+        self.assertEqual(slots, 8 * len(names) - kept)
+        self.assertEqual(self.world.find_double_loans(), [])
+        cut_off.reads = True
+        self.world.run(20)
+        slots = sum(sum(total_slots(self.world, name)) for name in names)
+        self.assertEqual(slots, 8 * len(names))
+
     def test_grant_of_another_length_changes_nothing(self):
         """Guards against shares taken from a grant that is no answer."""
         self.world.run(14)
--- a/tests/rights/world.py
+++ b/tests/rights/world.py
@@ -101,6 +101,9 @@
     def get_own(self):
         return self.own.member
 
+    def set_never_held(self, never_held):
+        self.own.member = replace(self.own.member, never_held=never_held)
+
     def hear(self, member):
         self._seen[member.instance] = (member, self.fleet.clock.now)
 
