--- a/tests/configuration/test_dissemination.py
+++ b/tests/configuration/test_dissemination.py
@@ -10,6 +10,7 @@
 from tests.builders import build_configuration
 from tests.configuration.fakes import Fleet
 from tests.fakes import wait_until
+from tests.selection import long_run
 
 INVALID = {"engines": {"cold_limit": 0}}
 
@@ -102,6 +103,7 @@
         fleet.platform.publish(build_configuration(2, zones={"withdrawn": ["a"]}))
         self.assertTrue(wait_until(lambda: fleet.all_at(2)))
 
+    @long_run
     def test_older_revision_of_the_service_reverts_nothing(self):
         fleet = Fleet(zones="a", size=1)
         self.addCleanup(fleet.stop)
@@ -118,6 +120,7 @@
         self.assertTrue(wait_until(lambda: fleet.all_at(10)))
         self.check_clean(fleet)
 
+    @long_run
     def test_refused_revision_is_not_fetched_again(self):
         fleet = self.start()
         before = len(fleet.platform.calls)
--- a/tests/guarantees/test_at_most_once.py
+++ b/tests/guarantees/test_at_most_once.py
@@ -122,6 +122,7 @@
         self.repeat(ids, [owner, others[0]])
         self.assert_at_most_once()
 
+    @long_run
     def test_partition_with_both_sides_serving(self):
         left = [
             n for z in self.deployment.preset.zones[:1] for n in self.fleet.get_zone(z)
--- a/tests/guarantees/test_whole_answer.py
+++ b/tests/guarantees/test_whole_answer.py
@@ -91,10 +91,10 @@
         upstream.__dict__.pop("handle", None)
 
 
+@long_run
 class FaultyUpstreamTest(WholeAnswerCase):
     """Guards against bytes of another request, and missing or doubled ones."""
 
-    @long_run
     def test_faulty_answers(self):
         faults = [Fault.TRUNCATED, Fault.UNDELIMITED, Fault.CROSSED, Fault.CUT]
         faults += [Fault.DUPLICATED_TOKEN, Fault.CLOSE_BEFORE_ANSWER]
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -11,6 +11,7 @@
 from tests.builders import build_listed_instance
 from tests.fakes import find_free_address, wait_until
 from tests.membership.fleet import Fleet, make_settings
+from tests.selection import long_run
 
 LIVE, SUSPECT, DEAD = MemberState.LIVE, MemberState.SUSPECT, MemberState.DEAD
 
@@ -225,6 +226,7 @@
 
 
 class TestCost(FleetCase):
+    @long_run
     def test_traffic_does_not_grow_with_the_fleet(self):
         rates = {}
         for count, zones in ((9, 3), (60, 6)):
--- a/tests/rights/test_schedule.py
+++ b/tests/rights/test_schedule.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.rights.world import World
+from tests.selection import long_run
 
 LOAD_PER_STEP = 0.6
 
@@ -137,6 +138,7 @@
                 self.assertEqual(schedule.double_loans, 0)
                 self.assertEqual(schedule.overloads, 0)
 
+    @long_run
     def test_limits_hold_in_a_panel_of_one_zone(self):
         """Guards against shares lent twice where panels switch to the region.
 
@@ -160,6 +162,7 @@
                 self.assertEqual(schedule.double_loans, 0)
                 self.assertEqual(schedule.overloads, 0)
 
+    @long_run
     def test_limits_hold_while_slots_are_recalled(self):
         """Guards against recalled slots granted while their requests still run."""
         recalled = 0
@@ -171,6 +174,7 @@
                 self.assertEqual(schedule.overloads, 0)
         self.assertGreater(recalled, 50)
 
+    @long_run
     def test_checker_sees_missing_hold_down(self):
         """Guards against a checker that passes whatever the code does.
 
