--- a/src/fescueflow/admission/gate.py
+++ b/src/fescueflow/admission/gate.py
@@ -392,4 +392,4 @@
         return (ahead + 1) * span / len(self._completions)
 
 
-__all__ = ["SlotCapacity", "Gate", "GateTimes"]
+__all__ = ["Gate", "GateTimes", "SlotCapacity"]
--- a/src/fescueflow/admission/ramp.py
+++ b/src/fescueflow/admission/ramp.py
@@ -108,10 +108,10 @@
             sign = "new_incarnation"
         elif turned_cold and (is_raised or not first):
             sign = "reported_cold"
-        elif first:
-            self.limit = self._warm_limit if report.warm else self.limit
-        else:
+        elif not first:
             sign = self._judge_events(report)
+        elif report.warm:
+            self.limit = self._warm_limit
         self._advance(report, first or replaced)
         if sign is not None:
             self.turn_cold()
--- a/src/fescueflow/schema/messages.capnp
+++ b/src/fescueflow/schema/messages.capnp
@@ -17,6 +17,7 @@
   incarnation @1 :UInt64;
 }
 
+# `neverHeld`: this incarnation has not held a share of any upstream so far.
 struct MemberRecord {
   instance @0 :Text;
   incarnation @1 :UInt64;
