--- a/tests/guarantees/test_withdrawn_zone.py
+++ b/tests/guarantees/test_withdrawn_zone.py
@@ -78,7 +78,6 @@
         for load in self.loads:
             load.wait_whole(20)
 
-    @long_run
     def test_zone_returns_after_a_withdrawal_with_a_cut_link(self):
         """Guards against an instance without the service that keeps the zone."""
         with self.run_fleet(PRESET) as fleet:
