Repeat a safe request that an upstream failed, test the whole path

Change: a 5xx of an upstream is followed by another attempt where the route allows one and the budget has one left; the first failure is passed on if none does better.

The whole path is tested against stand-ins of the store and of upstreams; the tests of a repeated 500 failed before this change.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -40,6 +40,8 @@
 SILENCE_OBJECTIVES = 2.5
 SILENCE_MIN_S = 0.3
 SILENCE_MAX_S = 1.5
+# Statuses from here on are failures of the upstream, not of the request.
+SERVER_ERROR_MIN = 500
 
 
 @dataclass(frozen=True)
@@ -78,6 +80,8 @@
     arrived: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
     may_have_run: bool = False
+    # An upstream's own failure, which is better than none of an upstream.
+    fallback: "Answer | None" = None
     # The attempt whose stream is relayed.
     attempt: Attempt | None = None
 
@@ -120,19 +124,36 @@
         """
         journey = self._begin(call)
         self._chooser.note_first(journey.service)
-        while True:
-            attempt = None
-            try:
-                attempt = self._open(journey)
-                return self._take_answer(journey, attempt)
-            except ExchangeFailed as failure:
-                if attempt is not None:
-                    attempt.fail(failure)
-                self._check_repeat(journey, failure)
-            except GatewayError as error:
-                if attempt is not None:
-                    attempt.cancel()
-                raise self._describe(journey, error) from error
+        try:
+            while True:
+                answer = self._attempt(journey)
+                if answer is not None:
+                    return answer
+        except GatewayError as error:
+            if journey.fallback is not None:
+                return journey.fallback
+            raise self._describe(journey, error) from error
+
+    def _attempt(self, journey: Journey) -> Answer | None:
+        """Return the answer of one attempt, ``None`` if another one is to follow.
+
+        Raises
+        ------
+        GatewayError
+        """
+        attempt = None
+        try:
+            attempt = self._open(journey)
+            return self._take_answer(journey, attempt)
+        except ExchangeFailed as failure:
+            if attempt is not None:
+                attempt.fail(failure)
+            self._check_repeat(journey, failure)
+            return None
+        except GatewayError:
+            if attempt is not None:
+                attempt.cancel()
+            raise
 
     def _begin(self, call: Call) -> Journey:
         table = self._beliefs.get_table()
@@ -195,7 +216,12 @@
         if not is_stream:
             body = attempt.read_body(journey.until)
             attempt.finish()
-            return Answer(status, headers, body)
+            answer = Answer(status, headers, body)
+            if status < SERVER_ERROR_MIN or not self._can_move(journey):
+                return answer
+            # Passed on if no other upstream does better.
+            journey.fallback = answer
+            raise ExchangeFailed(AttemptEnd.SERVER_ERROR, f"status {status}")
         splitter = EventSplitter()
         journey.attempt = attempt
         # The first event decides whether the answer is this upstream's: before it,
@@ -270,13 +296,13 @@
         journey.may_have_run = journey.may_have_run or end.has_run
         now = self._clock.monotonic()
         if now >= journey.until:
-            raise self._describe(journey, DeadlinePassed("the deadline passed"))
+            raise DeadlinePassed("the deadline passed")
         if not may_repeat(journey.route, end, journey.arrived):
-            raise self._describe(journey, make_error(failure))
+            raise make_error(failure)
         if end is not AttemptEnd.NOT_SENT and not self._chooser.take_repeat(
             journey.service
         ):
-            raise self._describe(journey, make_error(failure))
+            raise make_error(failure)
 
     def _describe(self, journey: Journey, error: GatewayError) -> GatewayError:
         """Return the error that is true of the whole request."""
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -109,7 +109,9 @@
         return self._beliefs.get_table() is not None and not self._leaving.is_set()
 
     def leave(self) -> None:
-        """Serve until callers have gone elsewhere, then stop."""
+        """Serve until callers have gone elsewhere, then stop; once."""
+        if self._leaving.is_set():
+            return
         began = self._clock.monotonic()
         log.info("leaving")
         self._leaving.set()
--- /dev/null
+++ b/tests/gateway/test_path.py
@@ -0,0 +1,322 @@
+"""The whole path: callers, one instance, the store and upstreams."""
+
+import http.client
+import socket
+import threading
+import time
+import unittest
+
+from fescueflow.core import SeededRandomness, SystemClock
+from fescueflow.gateway import Gateway
+from tests.gateway.builders import make_boot
+from tests.gateway.standins import Store, Upstream, make_event
+
+# Generous bound for what takes milliseconds.
+WAIT_S = 20.0
+ROUTE = {
+    "name": "stream",
+    "host": "fleet.example",
+    "prefix": "/stream/",
+    "kind": "streaming",
+    "timeout_ms": 10000,
+    "target_latency_ms": 600,
+    "priority": 0,
+    "service": "engines",
+    "max_attempts": 2,
+    "resumable": True,
+}
+ROUTES = [
+    ROUTE,
+    {**ROUTE, "name": "once", "prefix": "/once/", "kind": "unsafe"},
+    {**ROUTE, "name": "safe", "prefix": "/safe/", "kind": "safe"},
+    {**ROUTE, "name": "single", "prefix": "/single/", "resumable": False},
+]
+
+
+def make_table(version, **changes):
+    """Return a configuration document."""
+    service = {"name": "engines", "max_connections": 100}
+    table = {
+        "version": version,
+        "routes": ROUTES,
+        "services": [service],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "c1", "api_keys": ["k1"]}],
+    }
+    return {**table, **changes}
+
+
+def find_ports(count):
+    """Return free ports."""
+    opened = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [entry.getsockname()[1] for entry in opened]
+    for entry in opened:
+        entry.close()
+    return ports
+
+
+class PathCase(unittest.TestCase):
+    """Starts one instance with two upstreams that answer."""
+
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.close)
+        self.upstreams = [self.start_upstream(f"u{n}") for n in (1, 2)]
+        self.store.put("op/config", make_table(1))
+        names = ("peer_port", "callers", "ready", "directory")
+        ports = dict(zip(names, find_ports(4), strict=True))
+        self.ports = ports
+        boot = make_boot(store=self.store.port, grace_s=2, **ports)
+        self.gateway = Gateway(boot, SystemClock(), SeededRandomness(1))
+        self.gateway.start()
+        self.addCleanup(self.gateway.leave)
+        self.wait_for(lambda: self.get_page("ready", "/readyz")[0] == 200)
+        self.wait_for(lambda: self.call("/safe/1")[0] == 200)
+        for upstream in self.upstreams:
+            upstream.arrivals.clear()
+
+    def start_upstream(self, name, **changes):
+        upstream = Upstream(name, lambda handler: handler.send_sealed())
+        self.addCleanup(upstream.close)
+        self.store.put(f"servers/{name}", upstream.make_entry(**changes))
+        return upstream
+
+    def set_script(self, *scripts):
+        for upstream, script in zip(self.upstreams, scripts, strict=True):
+            upstream.script = script
+
+    def wait_for(self, condition):
+        until = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), until, "the condition stays false")
+            time.sleep(0.02)
+
+    def call(self, target, method="POST", body=b"question", headers=None):
+        """Return status, headers and body of one request."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports["callers"], timeout=WAIT_S
+        )
+        sent = {
+            "Host": "fleet.example",
+            "X-Attempt-Id": "a1",
+            "X-Deadline-Ms": "8000",
+            "Authorization": "Token k1",
+            **(headers or {}),
+        }
+        try:
+            connection.request(method, target, body=body, headers=sent)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+        finally:
+            connection.close()
+
+    def get_page(self, name, path):
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports[name])
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
+
+    def count_arrivals(self):
+        return [len(upstream.arrivals) for upstream in self.upstreams]
+
+
+class WholeAnswerTest(PathCase):
+    """Guards against requests and answers that change on the way."""
+
+    def test_request_and_answer_pass_unchanged(self):
+        target = "/once/a%2Fb//c?x=%20&y=1"
+        status, headers, body = self.call(
+            target, headers={"X-Tenant": "forged", "X-Model": "m", "X-Hold": "h"}
+        )
+        self.assertEqual((status, body), (200, b"answer"))
+        self.assertIn(headers["X-Server-Seal"], {"u1.a1", "u2.a1"})
+        ((path, sent, sent_body),) = [a for u in self.upstreams for a in u.arrivals]
+        self.assertEqual((path, sent_body), (target, b"question"))
+        self.assertEqual((sent["X-Tenant"], sent["X-Model"]), ("c1", "m"))
+        self.assertNotIn("Authorization", sent)
+        self.assertNotIn("X-Hold", sent)
+        self.assertLessEqual(int(sent["X-Deadline-Ms"]), 8000)
+
+    def test_failure_of_an_upstream_passes_unchanged(self):
+        fail = [lambda h: h.send_sealed(500, b"no")] * 2
+        self.set_script(*fail)
+        status, headers, body = self.call("/once/1")
+        self.assertEqual((status, body), (500, b"no"))
+        self.assertIsNotNone(headers["X-Server-Seal"])
+        self.assertEqual(sum(self.count_arrivals()), 1)
+
+    def test_unknown_route_and_key(self):
+        self.assertEqual(self.call("/none/1")[0], 404)
+        status, _, _ = self.call("/safe/1", headers={"Authorization": "Token x"})
+        self.assertEqual(status, 401)
+        self.assertEqual(sum(self.count_arrivals()), 0)
+
+    def test_body_over_the_limit(self):
+        self.assertEqual(self.call("/once/1", body=b"x" * 100_001)[0], 413)
+
+
+class FailedAttemptTest(PathCase):
+    """Guards against second runs, and against failures that a repeat spares."""
+
+    def test_unsafe_request_with_a_lost_answer_runs_once(self):
+        self.set_script(lambda h: h.cut(), lambda h: h.cut())
+        self.assertEqual(self.call("/once/1")[0], 502)
+        self.assertEqual(sum(self.count_arrivals()), 1)
+
+    def test_unsealed_success_is_not_passed_on(self):
+        self.set_script(*[lambda h: h.send_whole(200, [], b"odd")] * 2)
+        self.assertEqual(self.call("/once/1")[0], 502)
+
+    def test_refusal_that_ran_is_not_passed_on_as_a_promise(self):
+        self.set_script(*[lambda h: h.send_sealed(503)] * 2)
+        self.assertEqual(self.call("/once/1")[0], 502)
+
+    def test_unsafe_request_that_did_not_run_goes_elsewhere(self):
+        refuse = [("X-Not-Executed", "1")]
+        self.upstreams[0].script = lambda h: h.send_sealed(503, b"", refuse)
+        for number in range(6):
+            self.assertEqual(self.call(f"/once/{number}")[0], 200)
+
+    def test_refused_everywhere(self):
+        refuse = [("X-Not-Executed", "1")]
+        self.set_script(*[lambda h: h.send_sealed(503, b"", refuse)] * 2)
+        status, headers, _ = self.call("/once/1")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+
+    def test_safe_request_goes_elsewhere(self):
+        for script in (lambda h: h.cut(), lambda h: h.send_sealed(500)):
+            self.upstreams[0].script = script
+            for number in range(3):
+                self.assertEqual(self.call(f"/safe/{number}")[0], 200)
+
+    def test_last_failure_of_upstreams_is_passed_on(self):
+        self.set_script(*[lambda h: h.send_sealed(500, b"no")] * 2)
+        status, headers, body = self.call("/safe/1")
+        self.assertEqual((status, body), (500, b"no"))
+        self.assertIsNotNone(headers["X-Server-Seal"])
+        self.assertEqual(sum(self.count_arrivals()), 2)
+
+
+class StreamTest(PathCase):
+    """Guards against streams with gaps, repeats or a false end."""
+
+    def send_events(self, handler, cut_after=None):
+        handler.start_stream()
+        first = int(handler.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, 6):
+            handler.send_event(number)
+            if number == cut_after:
+                handler.send_part(make_event(number + 1)[:9])
+                time.sleep(0.05)
+                handler.cut()
+                return
+        handler.end_stream()
+
+    def test_whole_stream(self):
+        self.set_script(*[self.send_events] * 2)
+        status, headers, body = self.call("/stream/1")
+        self.assertEqual(status, 200)
+        self.assertEqual(body, b"".join(make_event(n) for n in range(1, 6)))
+        self.assertEqual(headers["Content-Type"], "text/event-stream")
+
+    def test_stream_goes_on_elsewhere_after_its_last_whole_event(self):
+        scripts = [lambda h: self.send_events(h, 3), self.send_events]
+        for first in (0, 1):
+            self.set_script(scripts[first], scripts[1 - first])
+            self.assertEqual(
+                self.call("/stream/1")[2],
+                b"".join(make_event(n) for n in range(1, 6)),
+            )
+
+    def test_stream_that_may_not_be_resumed_ends_visibly(self):
+        self.set_script(*[lambda h: self.send_events(h, 3)] * 2)
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.call("/single/1")
+        self.assertEqual(
+            caught.exception.partial, b"".join(make_event(n) for n in range(1, 4))
+        )
+        self.assertEqual(sum(self.count_arrivals()), 1)
+
+    def test_upstream_stops_when_the_caller_leaves(self):
+        started = threading.Event()
+
+        def send_forever(handler):
+            handler.start_stream()
+            number = 0
+            while not handler.cancelled.is_set():
+                number += 1
+                handler.send_event(number)
+                started.set()
+                time.sleep(0.02)
+
+        self.set_script(send_forever, send_forever)
+        caller = socket.create_connection(("127.0.0.1", self.ports["callers"]))
+        caller.sendall(
+            b"POST /single/1 HTTP/1.1\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n"
+            b"Authorization: Token k1\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertTrue(started.wait(WAIT_S))
+        caller.recv(100)
+        caller.close()
+        self.wait_for(lambda: any(u.cancelled.is_set() for u in self.upstreams))
+
+
+class BeliefTest(PathCase):
+    """Guards against work that the operator or an upstream has ended."""
+
+    def is_alone(self, index):
+        """Return whether only one upstream gets requests."""
+        for upstream in self.upstreams:
+            upstream.arrivals.clear()
+        for number in range(4):
+            self.assertEqual(self.call(f"/safe/{number}")[0], 200)
+        return self.count_arrivals()[1 - index] == 0
+
+    def test_draining_upstream(self):
+        entry = self.upstreams[0].make_entry(state="draining")
+        self.store.put("servers/u1", entry)
+        self.wait_for(lambda: self.is_alone(1))
+
+    def test_withdrawn_zone(self):
+        self.store.put("servers/u2", self.upstreams[1].make_entry(zone="b"))
+        self.store.put("op/evacuate/b", {})
+        self.wait_for(lambda: self.is_alone(0))
+        self.store.put("op/evacuate/b", None)
+        self.store.put("servers/u1", None)
+        self.wait_for(lambda: self.call("/safe/1")[0] == 200 and self.is_alone(1))
+
+    def test_key_that_is_taken_away(self):
+        self.store.put("op/config", make_table(2, tenants=[]))
+        self.wait_for(lambda: self.call("/safe/1")[0] == 401)
+
+    def test_documents_that_cannot_be_read(self):
+        self.store.put("op/config", b"\xff")
+        self.store.put("servers/u1", {"state": "ready"})
+        self.wait_for(lambda: self.is_alone(1))
+
+
+class DirectoryTest(PathCase):
+    """Guards against callers that are sent to an instance that leaves."""
+
+    def test_leaving_instance_names_itself_no_more(self):
+        self.wait_for(lambda: self.get_page("directory", "/resolve?zone=a")[0] == 200)
+        body = self.get_page("directory", "/resolve?name=x&zone=a")[1]
+        self.assertIn(b"127.0.0.1:%d" % self.ports["callers"], body)
+        leaving = threading.Thread(target=self.gateway.leave)
+        leaving.start()
+        self.wait_for(lambda: self.get_page("directory", "/resolve?zone=a")[0] == 503)
+        self.assertEqual(self.get_page("ready", "/readyz")[0], 503)
+        self.assertEqual(self.call("/once/1")[0], 200)
+        leaving.join()
+
+
+if __name__ == "__main__":
+    unittest.main()
