Follow the store in one watch; tell a lost connection from an outage

Change: one watch for all keys of 1 s, given up after 0.7 s more of silence; the grace only after an outage of two heartbeats or more, since entries lapse after three; a doubted upstream is left out at its time, not at the next upkeep.

--- a/src/fescueflow/gateway/beliefs.py
+++ b/src/fescueflow/gateway/beliefs.py
@@ -30,7 +30,7 @@
         self._doubted: dict[UpstreamId, float] = {}
         self._withdrawn: frozenset[ZoneId] = frozenset()
         self._grace_until = 0.0
-        self._read_at: dict[str, float] = {}
+        self._current_at = 0.0
 
     def get_table(self) -> RoutingTable | None:
         """Return the configuration in force."""
@@ -40,13 +40,13 @@
         """Return the zones that get no work."""
         return self._withdrawn
 
-    def get_ages(self, now: float) -> dict[str, float]:
-        """Return the seconds since each prefix was last known to be current."""
-        return {name: now - at for name, at in self._read_at.items()}
+    def get_age(self, now: float) -> float:
+        """Return the seconds since the beliefs were last known to be current."""
+        return now - self._current_at
 
-    def note_current(self, prefix: str, now: float) -> None:
-        """Note that what is known of a prefix is current."""
-        self._read_at[prefix] = now
+    def note_current(self, now: float) -> None:
+        """Note that all beliefs are current."""
+        self._current_at = now
 
     def note_return(self, now: float) -> None:
         """Note that the store answers again after an outage."""
@@ -112,16 +112,18 @@
                 self._upstreams.pop(name, None)
             return gone
 
-    def list_upstreams(self, service: ServiceId) -> list[Upstream]:
+    def list_upstreams(self, service: ServiceId, now: float) -> list[Upstream]:
         """Return the upstreams of a service that take new work."""
         withdrawn = self._withdrawn
         with self._lock:
+            doubted = {name for name, until in self._doubted.items() if now >= until}
             return [
                 upstream
                 for upstream in self._upstreams.values()
                 if upstream.service == service
                 and upstream.state is UpstreamState.READY
                 and upstream.zone not in withdrawn
+                and upstream.id not in doubted
             ]
 
     def list_all(self) -> list[Upstream]:
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -113,7 +113,7 @@
         Overloaded
         """
         now = self._clock.monotonic()
-        listed = self._beliefs.list_upstreams(service)
+        listed = self._beliefs.list_upstreams(service, now)
         with self._lock:
             usable = self._find_usable(listed, tried, now)
             if not usable:
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -40,8 +40,6 @@
 SILENCE_OBJECTIVES = 2.5
 SILENCE_MIN_S = 0.3
 SILENCE_MAX_S = 1.5
-# Statuses from here on are failures of the upstream, not of the request.
-SERVER_ERROR_MIN = 500
 
 
 @dataclass(frozen=True)
@@ -80,8 +78,6 @@
     arrived: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
     may_have_run: bool = False
-    # An upstream's own failure, which is better than none of an upstream.
-    fallback: "Answer | None" = None
     # The attempt whose stream is relayed.
     attempt: Attempt | None = None
 
@@ -130,8 +126,6 @@
                 if answer is not None:
                     return answer
         except GatewayError as error:
-            if journey.fallback is not None:
-                return journey.fallback
             raise self._describe(journey, error) from error
 
     def _attempt(self, journey: Journey) -> Answer | None:
@@ -216,12 +210,7 @@
         if not is_stream:
             body = attempt.read_body(journey.until)
             attempt.finish()
-            answer = Answer(status, headers, body)
-            if status < SERVER_ERROR_MIN or not self._can_move(journey):
-                return answer
-            # Passed on if no other upstream does better.
-            journey.fallback = answer
-            raise ExchangeFailed(AttemptEnd.SERVER_ERROR, f"status {status}")
+            return Answer(status, headers, body)
         splitter = EventSplitter()
         journey.attempt = attempt
         # The first event decides whether the answer is this upstream's: before it,
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -32,12 +32,19 @@
 )
 from fescueflow.gateway.server import CALLER_THREADS, PAGE_THREADS, GatewayServer
 from fescueflow.gateway.watching import (
+    SILENCE_S,
     OperatorFollower,
     UpstreamFollower,
     Watcher,
 )
 from fescueflow.metrics import Metrics
-from fescueflow.platform import BootSettings, StoreClient, load_boot
+from fescueflow.platform import (
+    ANSWER_BYTES_MAX,
+    BootSettings,
+    Limits,
+    StoreClient,
+    load_boot,
+)
 
 # How long callers keep an address, in seconds; a third of the longest, since some
 # keep it three times as long.
@@ -47,6 +54,8 @@
 LISTEN_PART = 0.45
 ANSWER_PART = 0.92
 UPKEEP_S = 0.5
+# Longest time for a whole answer of the store, in seconds.
+READ_MAX_S = 3.0
 EXIT_INVALID = 2
 
 log = logbook.Logger("process")
@@ -90,14 +99,13 @@
             clock=clock,
             randomness=randomness,
         )
-        self._watchers = self._make_watchers(randomness)
+        self._watcher = self._make_watcher(randomness)
         self._callers = self._make_caller_server()
         self._pages = self._make_page_server()
 
     def start(self) -> None:
         """Start all tasks."""
-        for watcher in self._watchers:
-            watcher.start()
+        self._watcher.start()
         self._link.start()
         self._pages.start()
         self._callers.start()
@@ -123,25 +131,30 @@
         idle = self._callers.wait_idle(began + grace_s * ANSWER_PART)
         log.info("stopped, all answers finished: {}", idle)
         self._stopped.set()
+        self._watcher.stop()
         self._link.stop()
         self._callers.stop()
+        self._pages.stop()
 
-    def _make_watchers(self, randomness: Randomness) -> list[Watcher]:
-        followers = (
-            OperatorFollower(self._beliefs, self._clock),
-            UpstreamFollower(self._beliefs, self._clock),
+    def _make_watcher(self, randomness: Randomness) -> Watcher:
+        limits = Limits(
+            connect_s=SILENCE_S,
+            silence_s=SILENCE_S,
+            total_s=READ_MAX_S,
+            body_bytes=ANSWER_BYTES_MAX,
+        )
+        return Watcher(
+            client=StoreClient(self._boot.store_address, limits),
+            followers=(
+                OperatorFollower(self._beliefs, self._clock),
+                UpstreamFollower(self._beliefs, self._clock),
+            ),
+            beliefs=self._beliefs,
+            heartbeat_s=self._boot.server_heartbeat_s,
+            clock=self._clock,
+            randomness=randomness,
+            metrics=self._metrics,
         )
-        return [
-            Watcher(
-                client=StoreClient(self._boot.store_address),
-                follower=follower,
-                beliefs=self._beliefs,
-                clock=self._clock,
-                randomness=randomness,
-                metrics=self._metrics,
-            )
-            for follower in followers
-        ]
 
     def _make_caller_server(self) -> GatewayServer:
         client = AttemptClient(
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -1,9 +1,11 @@
 """HTTP servers of one instance."""
 
+import contextlib
 import logging
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from waitress import create_server
@@ -63,6 +65,13 @@
     return type("Channel", (DirectChannel,), {"task_class": task})
 
 
+def run_in_loop(listener: Any, action: Callable[[], None]) -> None:
+    """Run an action in the server's loop, not at all if the loop has ended."""
+    # Its trigger is closed by then.
+    with contextlib.suppress(OSError):
+        listener.trigger.pull_trigger(action)
+
+
 class GatewayServer:
     """Serves a WSGI application on one or more addresses.
 
@@ -122,7 +131,7 @@
     def close_listeners(self) -> None:
         """Take no more connections."""
         for listener in self._listeners:
-            listener.trigger.pull_trigger(lambda c=listener: dispatcher.close(c))
+            run_in_loop(listener, partial(dispatcher.close, listener))
 
     def count_pending(self) -> int:
         """Return the number of connections with an unfinished answer."""
@@ -142,9 +151,8 @@
         return True
 
     def stop(self) -> None:
-        """Close all connections."""
-        listeners = self._listeners
-        listeners[0].trigger.pull_trigger(lambda: close_all(self._map, True))
+        """Close all connections and listeners."""
+        run_in_loop(self._listeners[0], lambda: close_all(self._map, True))
         self._thread.join(STOP_TIMEOUT_S)
 
 
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -2,7 +2,7 @@
 
 import threading
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import logbook
 
@@ -25,13 +25,21 @@
     MalformedAnswer,
     StoreClient,
     StoreItem,
+    StoreReading,
     parse_table,
     parse_upstream,
 )
 
-# Longest wait of a watch, in seconds: bounds how long a connection that went silent
-# keeps changes away.
-WATCH_S = 5.0
+# Longest wait of a watch, in seconds, and the longest silence of the store beyond it.
+# Their sum bounds how long a connection that went silent keeps changes away, which
+# must be well below the time in which a configuration is to be in force.
+WATCH_S = 1.0
+SILENCE_S = 0.7
+# All that is followed, in one watch: each call of a read is priced alike.
+ALL_PREFIXES = ""
+# Entries lapse after three heartbeats of silence, so a shorter outage, or a single
+# lost connection, removes none.
+LAPSE_HEARTBEATS = 2.0
 # Pause after a failed call, in seconds, doubled up to the longest; the first is
 # far below the time in which a configuration must be in force.
 PAUSE_MIN_S = 0.1
@@ -160,13 +168,15 @@
 
 
 class Watcher:
-    """Reads a prefix, then follows its changes, until it is stopped.
+    """Reads what the store holds, then follows its changes, until it is stopped.
 
     Parameters
     ----------
     client : StoreClient
-    follower : Follower
+    followers : sequence of Follower
     beliefs : Beliefs
+    heartbeat_s : float
+        Interval at which upstreams renew their entries.
     clock : Clock
     randomness : Randomness
     metrics : Metrics
@@ -180,77 +190,104 @@
         self,
         *,
         client: StoreClient,
-        follower: Follower,
+        followers: Sequence[Follower],
         beliefs: Beliefs,
+        heartbeat_s: float,
         clock: Clock,
         randomness: Randomness,
         metrics: Metrics,
     ) -> None:
         self._client = client
-        self._follower = follower
+        self._followers = followers
         self._beliefs = beliefs
+        self._lapse_s = LAPSE_HEARTBEATS * heartbeat_s
         self._clock = clock
         self._randomness = randomness
         self._metrics = metrics
         self._stopped = threading.Event()
         self._revision: Revision | None = None
         self._pause_s = 0.0
+        self._answered_at = clock.monotonic()
 
     def start(self) -> None:
         """Start the task."""
-        name = f"watch {self._follower.prefix}"
-        threading.Thread(target=self._work, name=name, daemon=True).start()
+        threading.Thread(target=self._work, name="watch", daemon=True).start()
 
     def stop(self) -> None:
         """End the task after its present call."""
         self._stopped.set()
 
+    def advance(self) -> None:
+        """Make one call and take over its answer; pause if there is none."""
+        try:
+            self._call()
+        except HistoryGone:
+            log.info("the store's history is gone, all is read again")
+            self._revision = None
+        except PlatformUnavailable as error:
+            self._note_failure(error)
+        except Exception as error:  # noqa: BLE001
+            # Without this task the instance would serve on old beliefs for good.
+            log.error("unexpected: {!r}", error)
+            self._revision = None
+            self._note_failure(PlatformUnavailable(repr(error)))
+
     def _work(self) -> None:
         while not self._stopped.is_set():
-            try:
-                self._advance()
-            except HistoryGone:
-                log.info("{}: history is gone, read again", self._follower.prefix)
-                self._revision = None
-            except PlatformUnavailable as error:
-                self._note_failure(error)
-            except Exception as error:  # noqa: BLE001
-                # Without this task the instance would serve on old beliefs for good.
-                log.error("{}: unexpected: {!r}", self._follower.prefix, error)
-                self._revision = None
-                self._note_failure(PlatformUnavailable(repr(error)))
-
-    def _advance(self) -> None:
-        """Make one call and take over its answer."""
-        prefix = self._follower.prefix
+            self.advance()
+
+    def _call(self) -> None:
         revision = self._revision
         self._metrics.count("store_calls", kind="read" if revision is None else "watch")
         if revision is None:
-            reading = self._client.read(prefix)
-        else:
-            reading = self._client.watch(prefix, revision, WATCH_S)
-        now = self._clock.monotonic()
-        if self._pause_s:
-            self._pause_s = 0.0
-            # A watch that failed may have missed nothing, but entries may have
-            # lapsed meanwhile: their deletions come now, their returns soon.
-            self._beliefs.note_return(now)
-            log.info("{}: the store answers again", prefix)
-        if revision is None:
-            self._follower.replace_all(reading.items)
+            reading = self._read_all()
         else:
+            reading = self._client.watch(ALL_PREFIXES, revision, WATCH_S)
+        self._note_answer()
+        if revision is not None:
             for item in reading.items:
-                self._follower.apply(item)
+                self._apply(item)
         self._revision = reading.revision
-        self._beliefs.note_current(prefix, now)
+        self._beliefs.note_current(self._answered_at)
+
+    def _read_all(self) -> StoreReading:
+        reading = self._client.read(ALL_PREFIXES)
+        self._note_answer()
+        for follower in self._followers:
+            prefix = follower.prefix
+            follower.replace_all(i for i in reading.items if i.key.startswith(prefix))
+        return reading
+
+    def _apply(self, item: StoreItem) -> None:
+        for follower in self._followers:
+            if item.key.startswith(follower.prefix):
+                follower.apply(item)
+
+    def _note_answer(self) -> None:
+        now = self._clock.monotonic()
+        silent_s, self._answered_at = now - self._answered_at, now
+        if not self._pause_s:
+            return
+        self._pause_s = 0.0
+        log.info("the store answers again after {:.1f} s", silent_s)
+        if silent_s >= self._lapse_s:
+            # Entries may have lapsed: their deletions come now, their returns soon.
+            self._beliefs.note_return(now)
 
     def _note_failure(self, error: PlatformUnavailable) -> None:
-        self._metrics.count("store_failures", prefix=self._follower.prefix)
+        self._metrics.count("store_failures")
         if not self._pause_s:
-            log.warning("{}: no answer of the store: {}", self._follower.prefix, error)
+            log.warning("no answer of the store: {}", error)
         self._pause_s = min(PAUSE_MAX_S, max(PAUSE_MIN_S, self._pause_s * 2))
         spread = self._randomness.uniform(0.5, 1.5)
         self._clock.wait(self._stopped, self._pause_s * spread)
 
 
-__all__ = ["Follower", "OperatorFollower", "UpstreamFollower", "Watcher"]
+__all__ = [
+    "SILENCE_S",
+    "WATCH_S",
+    "Follower",
+    "OperatorFollower",
+    "UpstreamFollower",
+    "Watcher",
+]
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -30,6 +30,7 @@
     render_list,
 )
 from fescueflow.platform.store import (
+    ANSWER_BYTES_MAX,
     HistoryGone,
     StoreClient,
     StoreItem,
@@ -54,6 +55,7 @@
 )
 
 __all__ = [
+    "ANSWER_BYTES_MAX",
     "ATTEMPT_ID",
     "COLD_MS",
     "METRICS_PATH",
--- a/src/fescueflow/platform/store.py
+++ b/src/fescueflow/platform/store.py
@@ -151,4 +151,10 @@
         yield StoreItem(key, value)
 
 
-__all__ = ["HistoryGone", "StoreClient", "StoreItem", "StoreReading"]
+__all__ = [
+    "ANSWER_BYTES_MAX",
+    "HistoryGone",
+    "StoreClient",
+    "StoreItem",
+    "StoreReading",
+]
--- /dev/null
+++ b/tests/gateway/test_watching.py
@@ -0,0 +1,110 @@
+"""Following the store through lost connections and outages."""
+
+import unittest
+
+from fescueflow.core import PlatformUnavailable, SeededRandomness
+from fescueflow.gateway.beliefs import RETURN_GRACE_S, Beliefs
+from fescueflow.gateway.watching import UpstreamFollower, Watcher
+from fescueflow.metrics import Metrics
+from fescueflow.platform import HistoryGone, StoreItem, StoreReading
+from tests.fakes import FakeClock
+from tests.gateway.standins import encode
+from tests.routing.builders import ENGINES
+
+HEARTBEAT_S = 1.2
+
+
+def make_item(name, **changes):
+    """Return the entry of an upstream."""
+    entry = {
+        "service": ENGINES,
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return StoreItem(f"servers/{name}", encode({**entry, **changes}))
+
+
+class PauselessClock(FakeClock):
+    """Clock on which no wait takes time."""
+
+    def wait(self, event, seconds):
+        """Return at once."""
+        return event.is_set()
+
+
+class ScriptedClient:
+    """Store client that gives prepared answers or raises prepared errors."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+
+    def read(self, prefix):
+        return self._answer(prefix)
+
+    def watch(self, prefix, after, wait_s):
+        return self._answer(prefix)
+
+    def _answer(self, prefix):
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return StoreReading(tuple(answer), 1)
+
+
+class WatcherTest(unittest.TestCase):
+    """Guards against work for upstreams that left while a call was lost."""
+
+    def setUp(self):
+        self.clock = PauselessClock()
+        self.beliefs = Beliefs()
+
+    def run_all(self, *answers, pause_s=0.0):
+        """Take over all answers, with a pause of the clock before each."""
+        client = ScriptedClient(*answers)
+        watcher = Watcher(
+            client=client,
+            followers=[UpstreamFollower(self.beliefs, self.clock)],
+            beliefs=self.beliefs,
+            heartbeat_s=HEARTBEAT_S,
+            clock=self.clock,
+            randomness=SeededRandomness(1),
+            metrics=Metrics(),
+        )
+        for _ in answers:
+            self.clock.advance(pause_s)
+            watcher.advance()
+
+    def list_names(self):
+        now = self.clock.monotonic()
+        return {u.id for u in self.beliefs.list_upstreams(ENGINES, now)}
+
+    def test_removal_after_one_lost_connection_holds_at_once(self):
+        lost = PlatformUnavailable("reset")
+        removed = [StoreItem("servers/u1", None)]
+        self.run_all([make_item("u1"), make_item("u2")], lost, removed)
+        self.assertEqual(self.list_names(), {"u2"})
+
+    def test_removal_after_an_outage_waits_for_the_entry_to_return(self):
+        lost = [PlatformUnavailable("silent")] * 3
+        removed = [StoreItem("servers/u1", None)]
+        self.run_all([make_item("u1")], *lost, removed, pause_s=1.5)
+        self.assertEqual(self.list_names(), {"u1"})
+        self.clock.advance(RETURN_GRACE_S)
+        self.assertEqual(self.list_names(), set())
+
+    def test_history_that_is_gone_is_read_again(self):
+        self.run_all([make_item("u1")], HistoryGone("410"), [make_item("u2")])
+        self.assertEqual(self.list_names(), {"u2"})
+
+    def test_entry_that_turns_unreadable_names_no_upstream(self):
+        self.run_all([make_item("u1")], [make_item("u1", state=7)])
+        self.assertEqual(self.list_names(), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
