Keep chats where their prefixes were read through churn

Change: a table of holders; an instance tells the others only of parts that are not where hashing puts them, in its usual reports.

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -1,6 +1,7 @@
 """Choice of the upstream for an attempt, from beliefs and loads."""
 
 import threading
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from fescueflow.core import Clock, UpstreamId
@@ -11,6 +12,8 @@
 from fescueflow.routing import (
     Candidate,
     ColdPace,
+    HolderNews,
+    HolderTable,
     NoUpstream,
     Overloaded,
     Placement,
@@ -20,7 +23,6 @@
     ServiceId,
     Upstream,
     UpstreamHealth,
-    find_holder,
     judge,
     rank_placements,
 )
@@ -68,6 +70,7 @@
         self._lock = threading.Lock()
         self._health = UpstreamHealth()
         self._pace = ColdPace()
+        self._holders = HolderTable()
         self._budget = RepeatBudget(
             boot.repeat_ratio, boot.repeat_allowance, boot.repeat_window_s
         )
@@ -93,6 +96,16 @@
         with self._lock:
             return self._health.note_failure(upstream, self._clock.monotonic())
 
+    def merge_news(self, news: Iterable[HolderNews]) -> None:
+        """Take over where other instances have found parts of prompts."""
+        with self._lock:
+            self._holders.merge(news, self._clock.monotonic())
+
+    def take_news(self) -> list[HolderNews]:
+        """Return what other instances are to be told of parts of prompts."""
+        with self._lock:
+            return self._holders.take_news(self._clock.monotonic())
+
     def forget(self, kept: set[UpstreamId]) -> None:
         """Drop what is known of upstreams that are gone."""
         with self._lock:
@@ -123,8 +136,7 @@
                 Candidate(u, make_load(totals, u.id, self._health.get_rate(u.id)))
                 for u in usable
             ]
-            holder = find_holder(prompt.key, listed)
-            cached = frozenset({holder} if holder is not None else ())
+            cached = self._holders.find(service, prompt.key, listed, now)
             placements = rank_placements(
                 candidates, prompt, cached, self._boot.imbalance_factor
             )
@@ -140,6 +152,7 @@
                     retry_after_s=verdict.retry_after_s,
                 )
             upstream = chosen.candidate.upstream
+            self._holders.note(service, prompt.key, upstream.id, listed, now)
             unread = prompt.own_tokens + (
                 0 if chosen.is_cached else prompt.shared_tokens
             )
--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -4,12 +4,13 @@
 import socket
 import threading
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import logbook
 
 from fescueflow.core import Clock, InstanceId, Randomness, UpstreamId, ZoneId
+from fescueflow.routing import HolderNews, ServiceId
 
 # Interval of the reports, in seconds: a third of the age at which loads are dropped
 # and below the time in which load at an upstream changes much.
@@ -122,19 +123,27 @@
     return [peer.callers_address for peer in chosen[:count_max]]
 
 
-def encode_report(
-    own: PeerRecord,
-    peers: list[PeerRecord],
-    loads: Mapping[UpstreamId, tuple[int, int]],
-    now: float,
-) -> bytes:
-    """Return the datagram that reports an instance, its loads and whom it knows."""
-    members = [encode_record(own, 0.0)] + [
-        encode_record(peer, now - peer.heard_at)
-        for peer in peers
-        if now - peer.heard_at <= COUNT_S
-    ]
-    document = {"members": members, "loads": loads}
+@dataclass(frozen=True)
+class PeerReport:
+    """What an instance tells of itself and others, its own record first."""
+
+    records: list[PeerRecord]
+    loads: Mapping[UpstreamId, tuple[int, int]] = field(default_factory=dict)
+    news: list[HolderNews] = field(default_factory=list)
+
+
+def encode_report(report: PeerReport, now: float) -> bytes:
+    """Return the datagram of a report."""
+    document = {
+        "members": [
+            encode_record(r, max(0.0, now - r.heard_at)) for r in report.records
+        ],
+        "loads": report.loads,
+        "holders": [
+            [news.service, news.key, news.upstream, round(news.age_s, 2)]
+            for news in report.news
+        ],
+    }
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -152,10 +161,8 @@
     ]
 
 
-def decode_report(
-    data: bytes, now: float
-) -> tuple[list[PeerRecord], dict[UpstreamId, tuple[int, int]]]:
-    """Return the records and loads of a datagram, the sender's record first.
+def decode_report(data: bytes, now: float) -> PeerReport:
+    """Return the report of a datagram.
 
     Raises
     ------
@@ -164,30 +171,40 @@
     """
     document = json.loads(data)
     try:
-        records = [
-            PeerRecord(
-                InstanceId(str(name)),
-                str(host),
-                str(address),
-                ZoneId(str(zone)),
-                int(incarnation),
-                int(sequence),
-                bool(serving),
-                now - max(0.0, float(age_s)),
-            )
-            for name, host, address, zone, incarnation, sequence, serving, age_s in (
-                document["members"]
-            )
-        ]
+        records = [decode_record(entry, now) for entry in document["members"]]
         loads = {
             UpstreamId(name): (int(running), int(tokens))
             for name, (running, tokens) in document["loads"].items()
         }
+        news = [
+            HolderNews(
+                ServiceId(str(service)),
+                str(key),
+                UpstreamId(str(upstream)),
+                max(0.0, float(age_s)),
+            )
+            for service, key, upstream, age_s in document["holders"]
+        ]
     except (TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"malformed report: {error!r}") from error
     if not records:
         raise ValueError("a report names no instance")
-    return records, loads
+    return PeerReport(records, loads, news)
+
+
+def decode_record(entry: Any, now: float) -> PeerRecord:
+    """Return the record that a list holds."""
+    name, host, address, zone, incarnation, sequence, serving, age_s = entry
+    return PeerRecord(
+        InstanceId(str(name)),
+        str(host),
+        str(address),
+        ZoneId(str(zone)),
+        int(incarnation),
+        int(sequence),
+        bool(serving),
+        now - max(0.0, float(age_s)),
+    )
 
 
 class PeerLink:
@@ -279,8 +296,10 @@
 
 
 __all__ = [
+    "COUNT_S",
     "PeerLink",
     "PeerRecord",
+    "PeerReport",
     "PeerTable",
     "choose_addresses",
     "decode_report",
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -24,8 +24,10 @@
 from fescueflow.gateway.loads import LoadBook
 from fescueflow.gateway.logs import log_to_stdout
 from fescueflow.gateway.peers import (
+    COUNT_S,
     PeerLink,
     PeerRecord,
+    PeerReport,
     PeerTable,
     decode_report,
     encode_report,
@@ -208,20 +210,23 @@
 
     def _make_report(self) -> bytes:
         self._update_own()
-        return encode_report(
-            self._peers.get_own(),
-            self._peers.list_all(),
-            self._loads.list_own(),
-            self._clock.monotonic(),
+        now = self._clock.monotonic()
+        known = [p for p in self._peers.list_all() if now - p.heard_at <= COUNT_S]
+        report = PeerReport(
+            records=[self._peers.get_own(), *known],
+            loads=self._loads.list_own(),
+            news=self._chooser.take_news(),
         )
+        return encode_report(report, now)
 
     def _take_report(self, data: bytes) -> None:
         now = self._clock.monotonic()
-        records, loads = decode_report(data, now)
-        for record in records:
+        report = decode_report(data, now)
+        for record in report.records:
             if self._peers.merge(record):
                 log.info("instance {} seen in {}", record.instance, record.zone)
-        self._loads.set_peer(records[0].instance, loads, now)
+        self._loads.set_peer(report.records[0].instance, report.loads, now)
+        self._chooser.merge_news(report.news)
 
     def _keep_up(self) -> None:
         while not self._clock.wait(self._stopped, UPKEEP_S):
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -19,6 +19,7 @@
     UnknownKey,
 )
 from fescueflow.routing.health import ColdPace, UpstreamHealth
+from fescueflow.routing.holders import HolderNews, HolderTable
 from fescueflow.routing.model import (
     PRIORITY_DEFAULT,
     CallerLimits,
@@ -62,6 +63,8 @@
     "DeadlinePassed",
     "EngineTraits",
     "GatewayError",
+    "HolderNews",
+    "HolderTable",
     "InvalidCall",
     "NoRoute",
     "NoTable",
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -7,11 +7,13 @@
 from fescueflow.gateway.peers import (
     COUNT_S,
     SILENCE_MAX_S,
+    PeerReport,
     PeerTable,
     choose_addresses,
     decode_report,
     encode_report,
 )
+from fescueflow.routing import HolderNews
 from tests.gateway.builders import make_peer
 
 
@@ -66,14 +68,21 @@
 
     def test_round_trip(self):
         own, other = make_peer("own", "a", 10.0), make_peer("other", heard_at=9.5)
-        loads = {UpstreamId("u1"): (3, 1200)}
-        records, received = decode_report(encode_report(own, [other], loads, 10.0), 50)
-        self.assertEqual([r.instance for r in records], ["own", "other"])
-        self.assertAlmostEqual(records[1].heard_at, 49.5)
-        self.assertEqual(received, loads)
+        news = [HolderNews("s", "part", UpstreamId("u1"), 1.5)]
+        sent = PeerReport([own, other], {UpstreamId("u1"): (3, 1200)}, news)
+        received = decode_report(encode_report(sent, 10.0), 50)
+        self.assertEqual([r.instance for r in received.records], ["own", "other"])
+        self.assertAlmostEqual(received.records[1].heard_at, 49.5)
+        self.assertEqual((received.loads, received.news), (sent.loads, news))
 
     def test_malformed(self):
-        for data in (b"", b"[]", b"{}", b'{"members":[[1]],"loads":{}}', b"\xff"):
+        for data in (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"members":[[1]],"loads":{},"holders":[]}',
+            b"\xff",
+        ):
             with self.assertRaises(ValueError):
                 decode_report(data, 0.0)
 
--- /dev/null
+++ b/tests/routing/test_holders.py
@@ -0,0 +1,125 @@
+"""Places of shared prompt parts through churn."""
+
+import random
+import unittest
+
+from fescueflow.routing import HolderTable, find_holder
+from fescueflow.routing.holders import NEWS_REPEATS, PART_AGE_MAX_S
+from tests.routing.builders import ENGINES, make_upstream
+
+KEYS = [f"part{n}" for n in range(60)]
+
+
+def make_upstreams(*numbers):
+    """Return upstreams with these numbers."""
+    return [make_upstream(f"u{n}") for n in numbers]
+
+
+class HolderTableTest(unittest.TestCase):
+    """Guards against chats that leave an upstream which holds their prefix."""
+
+    def setUp(self):
+        self.table = HolderTable()
+
+    def use(self, key, upstreams, now=0.0):
+        """Use a part where it is expected, and return where that is."""
+        chosen = min(self.table.find(ENGINES, key, upstreams, now))
+        self.table.note(ENGINES, key, chosen, upstreams, now)
+        return chosen
+
+    def test_new_upstream_takes_no_part_that_is_held(self):
+        before = {key: self.use(key, make_upstreams(1, 2, 3)) for key in KEYS}
+        after = {key: self.use(key, make_upstreams(1, 2, 3, 4)) for key in KEYS}
+        self.assertEqual(before, after)
+
+    def test_lost_upstream_loses_its_parts_only(self):
+        before = {key: self.use(key, make_upstreams(1, 2, 3)) for key in KEYS}
+        after = {key: self.use(key, make_upstreams(1, 2)) for key in KEYS}
+        moved = {key for key in KEYS if before[key] != after[key]}
+        self.assertEqual(moved, {key for key in KEYS if before[key] == "u3"})
+
+    def test_unused_part_is_forgotten(self):
+        upstreams = make_upstreams(1, 2, 3)
+        other = next(u.id for u in upstreams if u.id != find_holder("k", upstreams))
+        self.table.note(ENGINES, "k", other, upstreams, 0.0)
+        self.assertEqual(self.table.find(ENGINES, "k", upstreams, 1.0), {other})
+        found = self.table.find(ENGINES, "k", upstreams, PART_AGE_MAX_S + 1)
+        self.assertEqual(found, {find_holder("k", upstreams)})
+
+    def test_parts_are_bounded(self):
+        table = HolderTable(parts_max=10)
+        upstreams = make_upstreams(1, 2)
+        for number in range(100):
+            table.note(ENGINES, f"k{number}", "u1", upstreams, 0.0)
+        self.assertLessEqual(len(table._parts), 10)
+
+    def test_news_only_of_parts_that_hashing_puts_elsewhere(self):
+        for key in KEYS:
+            self.use(key, make_upstreams(1, 2, 3))
+        self.assertEqual(self.table.take_news(0.0), [])
+        grown = make_upstreams(1, 2, 3, 4)
+        self.use(KEYS[0], grown)
+        told = [self.table.take_news(0.0) for _ in range(NEWS_REPEATS + 1)]
+        moved = {key for key in KEYS if find_holder(key, grown) == "u4"}
+        for news in told[:NEWS_REPEATS]:
+            self.assertEqual({item.key for item in news}, moved)
+        self.assertEqual(told[NEWS_REPEATS], [])
+
+    def test_another_instance_follows_the_news(self):
+        for key in KEYS:
+            self.use(key, make_upstreams(1, 2, 3))
+        grown = make_upstreams(1, 2, 3, 4)
+        here = {key: self.use(key, grown, 1.0) for key in KEYS}
+        other = HolderTable()
+        other.merge(self.table.take_news(1.0), 50.0)
+        there = {key: min(other.find(ENGINES, key, grown, 50.0)) for key in KEYS}
+        self.assertEqual(here, there)
+
+
+def replay_churn(remembers, seed, instances=9, uses=600):
+    """Return the reads of parts by an engine while another one holds them.
+
+    The load: sixty subjects that nine instances serve by turns; after a third an
+    upstream is added, after two thirds two are replaced, the new ones first.
+    """
+    random_source = random.Random(seed)
+    tables = [HolderTable() for _ in range(instances)]
+    held = {}
+    again = 0
+    steps = {
+        0: (1, 2, 3, 4, 5, 6),
+        uses // 3: (1, 2, 3, 4, 5, 6, 7),
+        2 * uses // 3: (1, 2, 3, 4, 5, 6, 7, 8, 9),
+        2 * uses // 3 + 20: (3, 4, 5, 6, 7, 8, 9),
+    }
+    upstreams = []
+    for number in range(uses):
+        upstreams = make_upstreams(*steps[number]) if number in steps else upstreams
+        key, now = random_source.choice(KEYS), number / 20
+        table = random_source.choice(tables)
+        if remembers:
+            chosen = min(table.find(ENGINES, key, upstreams, now))
+            table.note(ENGINES, key, chosen, upstreams, now)
+        else:
+            chosen = find_holder(key, upstreams)
+        names = {upstream.id for upstream in upstreams}
+        holders = held.setdefault(key, set())
+        again += chosen not in holders and bool(holders & names)
+        holders.add(chosen)
+        if number % 6 == 0:
+            news = [item for t in tables for item in t.take_news(now)]
+            for t in tables:
+                t.merge(news, now)
+    return again
+
+
+class ReplayTest(unittest.TestCase):
+    """Churn: what rendezvous hashing alone does worse."""
+
+    def test_fewer_parts_are_read_again(self):
+        for seed in (1, 2, 3):
+            self.assertLess(replay_churn(True, seed), replay_churn(False, seed) / 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
