Weigh the number of running requests by what it costs

Cause: placement gave 2 ms to each running request and called a holder with three unbalanced at low load, so that short prompts left their holders.

--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -14,17 +14,15 @@
 # Prompt tokens that an engine reads in a millisecond; the sheets of the two
 # deployments give 112 and 125.
 PROMPT_TOKENS_PER_MS = 110.0
-# Delay of all running requests by one more, in milliseconds: an engine's step grows
-# by 0.05 to 0.08 ms for each, over the 10 to 50 steps of a usual answer.
-RUNNING_COST_MS = 2.0
+# Delay of the first event by one more running request, in milliseconds: an engine's
+# step grows by 0.05 to 0.08 ms for each, over the few steps that a prompt takes.
+RUNNING_COST_MS = 0.5
 # Time that a failed attempt costs a caller, in milliseconds: the latency objective
 # of the most urgent kind on the sheets.
 FAILURE_COST_MS = 600.0
-# Of the rules' factor for imbalance, the part that is used; loads of other
-# instances are up to a heartbeat old.
-IMBALANCE_PART = 0.8
-# Requests above the mean that never count as imbalance; the rules allow three.
-IMBALANCE_SLACK = 2
+# Requests above the largest multiple of the mean that never count as imbalance, as
+# the rules have it; a tighter bound moved chats away from idle holders at low load.
+IMBALANCE_SLACK = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +123,7 @@
     """
     total = sum(candidate.load.running for candidate in candidates)
     mean = total / max(1, len(candidates))
-    bound = IMBALANCE_PART * imbalance_factor * mean + IMBALANCE_SLACK
+    bound = imbalance_factor * mean + IMBALANCE_SLACK
     return [c for c in candidates if c.load.running + 1 <= bound]
 
 
