Log each decision with its inputs; explain a request from logs

Cause: the gateway's lines were free text without the inputs of a choice, and a failed request could not be followed across instances.

Change: one JSON line for each placement, failed attempt, broken stream and answer, with the request's id, inputs, their age and the outcome; limits for each kind of line, higher ones for failures; fescueflow explain ID [LOG...] prints a request's lines and those about its upstreams. fescueflow gateway runs the instance.

Figures: 6,000 lines into a reader that has stopped do not wait (test_logs).

--- /dev/null
+++ b/src/fescueflow/cli/explain.py
@@ -0,0 +1,105 @@
+"""Life of one request, from the logs of several instances."""
+
+import json
+import sys
+from argparse import Namespace
+from collections.abc import Iterable, Iterator, Mapping
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+EXIT_NOT_FOUND = 1
+EXIT_UNREADABLE = 2
+# Fields that are shown in front of the others.
+LEADING = ("time", "instance", "level", "channel", "message")
+# Lines about upstreams of the request are shown from this many seconds before its
+# first line, the time in which a change of them must be in force.
+BEFORE_S = 2.0
+
+Line = dict[str, Any]
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[Line]:
+    """Yield the JSON objects of log lines; text in front of an object is skipped."""
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "time" in line and "message" in line:
+            yield line
+
+
+def find_life(lines: Iterable[Line], request_id: str) -> list[Line]:
+    """Return the lines of a request and of its upstreams, in order of time.
+
+    Parameters
+    ----------
+    lines : iterable of dict
+    request_id : str
+
+    Returns
+    -------
+    list of dict
+        Empty if no line names the request.
+    """
+    known = list(lines)
+    own = [line for line in known if line.get("id") == request_id]
+    if not own:
+        return []
+    upstreams = {line["upstream"] for line in own if "upstream" in line}
+    instances = {line.get("instance") for line in own}
+    first, last = min(x["time"] for x in own), max(x["time"] for x in own)
+    beliefs = [
+        line
+        for line in known
+        if "id" not in line
+        and line.get("upstream") in upstreams
+        and line.get("instance") in instances
+        and subtract(first, line["time"]) <= BEFORE_S
+        and line["time"] <= last
+    ]
+    return sorted([*own, *beliefs], key=lambda line: str(line["time"]))
+
+
+def subtract(later: str, earlier: str) -> float:
+    """Return the seconds between two times of the log."""
+    first = datetime.fromisoformat(earlier.removesuffix("Z"))
+    return (datetime.fromisoformat(later.removesuffix("Z")) - first).total_seconds()
+
+
+def describe_line(line: Line) -> str:
+    """Return a log line as text."""
+    rest = " ".join(f"{k}={v}" for k, v in line.items() if k not in LEADING)
+    clock = str(line["time"]).partition("T")[2].removesuffix("Z")
+    return f"{clock} {line.get('instance', '')} {line['message']} {rest}"
+
+
+def read_texts(paths: list[str]) -> Iterator[str]:
+    """Yield the lines of files, of standard input without any."""
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        with Path(path).open(encoding="utf-8", errors="replace") as opened:
+            yield from opened
+
+
+def explain(arguments: Namespace, environment: Mapping[str, str]) -> int:
+    """Print the life of a request; return the exit code."""
+    try:
+        life = find_life(read_lines(read_texts(arguments.logs)), arguments.id)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return EXIT_UNREADABLE
+    if not life:
+        print(f"no line names the request {arguments.id}", file=sys.stderr)
+        return EXIT_NOT_FOUND
+    for line in life:
+        print(json.dumps(line) if arguments.json else describe_line(line))
+    return 0
+
+
+__all__ = ["explain", "find_life", "read_lines"]
--- a/src/fescueflow/cli/program.py
+++ b/src/fescueflow/cli/program.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Any
 
-from fescueflow import __version__
+from fescueflow import __version__, gateway
 from fescueflow.cli.commands import (
     EXIT_FAILED,
     EXIT_INVALID,
@@ -20,6 +20,7 @@
     show_status,
 )
 from fescueflow.cli.directory import UnreadableDirectory
+from fescueflow.cli.explain import explain
 from fescueflow.cli.remote import RemoteError
 from fescueflow.core import InvalidConfiguration, InvalidSettings
 from fescueflow.settings import add_arguments
@@ -101,9 +102,18 @@
     add_address(audit, environment)
     audit.add_argument("--after", type=int, default=0, help="sequence number [0]")
     add_configuration_commands(commands, output, environment)
+    add("gateway", run_gateway, "run one instance on the platform")
+    explained = add("explain", explain, "print the life of a request from logs")
+    explained.add_argument("id", help="id of the request's attempt")
+    explained.add_argument("logs", nargs="*", help="log files [standard input]")
     return parser
 
 
+def run_gateway(_: argparse.Namespace, environment: Mapping[str, str]) -> int:
+    """Run one instance with the settings file of the platform."""
+    return gateway.run(environment)
+
+
 def main(
     arguments: list[str] | None = None, environment: Mapping[str, str] | None = None
 ) -> int:
--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -95,18 +95,25 @@
         self, environ: Environment, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request."""
-        now = self._clock.monotonic()
+        began = self._clock.monotonic()
         attempt_id = environ.get("HTTP_X_ATTEMPT_ID", "")
         try:
-            answer = self._forwarder.forward(read_call(environ, now))
+            answer = self._forwarder.forward(read_call(environ, began))
         except GatewayError as error:
             answer = make_error_answer(error)
-            self._note(attempt_id, error.status, error.type, now, error.message)
-            self._metrics.count("requests", outcome=error.type)
+            self._note_failure(attempt_id, error, began)
         else:
-            self._note(attempt_id, answer.status, "answered", now, "")
+            took_s = self._clock.monotonic() - began
+            log.info(
+                "answered",
+                extra={
+                    "id": attempt_id,
+                    "status": answer.status,
+                    "after_ms": round(took_s * 1000),
+                },
+            )
             self._metrics.count("requests", outcome="answered")
-            self._metrics.observe("answer_start", self._clock.monotonic() - now)
+            self._metrics.observe("answer_start", took_s)
         headers = answer.headers
         body = answer.body
         if isinstance(body, bytes):
@@ -116,17 +123,20 @@
         start_response(f"{answer.status} {reason}", headers)
         return body  # type: ignore[return-value]
 
-    def _note(
-        self, attempt_id: str, status: int, outcome: str, began: float, why: str
-    ) -> None:
-        log.info(
-            "request {} status {} {} after {:.0f} ms {}",
-            attempt_id,
-            status,
-            outcome,
-            (self._clock.monotonic() - began) * 1000,
-            why,
+    def _note_failure(self, attempt_id: str, error: GatewayError, began: float) -> None:
+        log.warning(
+            "not answered",
+            extra={
+                "id": attempt_id,
+                "status": error.status,
+                "type": error.type,
+                "outcome": error.outcome.value,
+                "why": error.message,
+                "retry_after_s": error.retry_after_s,
+                "after_ms": round((self._clock.monotonic() - began) * 1000),
+            },
         )
+        self._metrics.count("requests", outcome=error.type)
 
 
 def make_error_answer(error: GatewayError) -> Answer:
--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable, Iterator
 
-from fescueflow.core import Clock
+import logbook
+
+from fescueflow.core import Clock, UpstreamId
 from fescueflow.gateway.choice import Choice, Chooser
 from fescueflow.gateway.connections import ConnectionPool, UpstreamConnection
 from fescueflow.gateway.exchange import Exchange, ExchangeFailed, render_request
@@ -17,6 +19,8 @@
 )
 from fescueflow.routing import AttemptEnd
 
+log = logbook.Logger("attempts")
+
 
 class Attempt:
     """Exchange with an upstream that is counted there until it ends."""
@@ -151,7 +155,7 @@
                 self._metrics.count("upstream_connections")
         except OSError as error:
             choice.ticket.end()
-            self._chooser.note_failure(upstream.id)
+            self._note_unhealthy(upstream.id)
             self._metrics.count("attempts", end=AttemptEnd.NOT_SENT.value)
             raise ExchangeFailed(AttemptEnd.NOT_SENT, repr(error)) from error
         return Attempt(
@@ -178,8 +182,12 @@
     def note_failure(self, attempt: Attempt, failure: ExchangeFailed) -> None:
         """Note a failed attempt."""
         if failure.end is not AttemptEnd.REFUSED:
-            self._chooser.note_failure(attempt.choice.upstream.id)
+            self._note_unhealthy(attempt.choice.upstream.id)
         self._metrics.count("attempts", end=failure.end.value)
 
+    def _note_unhealthy(self, upstream: UpstreamId) -> None:
+        if self._chooser.note_failure(upstream):
+            log.warning("upstream left out", extra={"upstream": str(upstream)})
+
 
 __all__ = ["Attempt", "AttemptClient"]
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -34,11 +34,27 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """An upstream and the ticket that counts the request there."""
+    """A placement and the ticket that counts the request there."""
 
-    upstream: Upstream
+    placement: Placement
     ticket: Ticket
-    cost_ms: float
+
+    @property
+    def upstream(self) -> Upstream:
+        """The chosen upstream."""
+        return self.placement.candidate.upstream
+
+    def describe(self) -> dict[str, str | int | float | bool]:
+        """Return what decided the choice, for the log."""
+        load = self.placement.candidate.load
+        return {
+            "upstream": str(self.upstream.id),
+            "cost_ms": round(self.placement.cost_ms, 1),
+            "running": load.running,
+            "waiting_tokens": load.waiting_tokens,
+            "failure_rate": round(load.failure_rate, 2),
+            "cached": self.placement.is_cached,
+        }
 
 
 class Chooser:
@@ -157,7 +173,7 @@
                 0 if chosen.is_cached else prompt.shared_tokens
             )
             ticket = self._loads.start(upstream.id, service, unread)
-            return Choice(upstream, ticket, chosen.cost_ms)
+            return Choice(chosen, ticket)
 
     def _find_usable(
         self, listed: list[Upstream], tried: set[UpstreamId], now: float
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+import logbook
+
 from fescueflow.core import Clock, CustomerId, UpstreamId
 from fescueflow.gateway.attempts import Attempt, AttemptClient
 from fescueflow.gateway.beliefs import Beliefs
-from fescueflow.gateway.choice import Chooser
+from fescueflow.gateway.choice import Choice, Chooser
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.streams import EventSplitter, StreamBody, StreamBroken
 from fescueflow.platform import (
@@ -41,6 +43,8 @@
 SILENCE_MIN_S = 0.3
 SILENCE_MAX_S = 1.5
 
+log = logbook.Logger("forwarding")
+
 
 @dataclass(frozen=True)
 class Call:
@@ -78,6 +82,8 @@
     arrived: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
     may_have_run: bool = False
+    # The upstream of the present attempt.
+    upstream: UpstreamId | None = None
     # The attempt whose stream is relayed.
     attempt: Attempt | None = None
 
@@ -142,6 +148,7 @@
         except ExchangeFailed as failure:
             if attempt is not None:
                 attempt.fail(failure)
+            self._note_failure(journey, failure)
             self._check_repeat(journey, failure)
             return None
         except GatewayError:
@@ -182,6 +189,8 @@
             journey.service, prompt, journey.tried, journey.until - now
         )
         journey.tried.add(choice.upstream.id)
+        journey.upstream = choice.upstream.id
+        self._note_choice(journey, choice, now)
         headers = make_upstream_headers(
             call.headers,
             upstream=choice.upstream.id,
@@ -245,10 +254,11 @@
                 return
             except ExchangeFailed as failure:
                 attempt.fail(failure)
+                self._note_failure(journey, failure)
                 journey.attempt = self._move(journey, splitter, failure)
             except GatewayError as error:
                 attempt.cancel()
-                raise StreamBroken(error.message) from error
+                raise self._break_stream(journey, error.message) from error
 
     def _can_move(self, journey: Journey) -> bool:
         return may_repeat(journey.route, AttemptEnd.BROKEN, journey.arrived)
@@ -259,20 +269,22 @@
         """Resume a stream after its last whole event."""
         splitter.drop_rest()
         if splitter.last_id is None:
-            raise StreamBroken(str(failure)) from failure
+            raise self._break_stream(journey, str(failure)) from failure
         while True:
             try:
                 self._check_repeat(journey, failure)
                 attempt = self._open(journey, splitter.last_id)
             except ExchangeFailed as next_failure:
                 failure = next_failure
+                self._note_failure(journey, failure)
                 continue
             except GatewayError as error:
-                raise StreamBroken(error.message) from error
+                raise self._break_stream(journey, error.message) from error
             if attempt.exchange.status == 200:
                 return attempt
             attempt.cancel()
-            raise StreamBroken(f"status {attempt.exchange.status} on resumption")
+            status = attempt.exchange.status
+            raise self._break_stream(journey, f"status {status} on resumption")
 
     def _check_repeat(self, journey: Journey, failure: ExchangeFailed) -> None:
         """Raise the caller's error unless another attempt follows.
@@ -301,6 +313,45 @@
             return TurnedAway(error.message)
         return error
 
+    def _note_choice(self, journey: Journey, choice: Choice, now: float) -> None:
+        table = self._beliefs.get_table()
+        log.info(
+            "placed",
+            extra={
+                "id": journey.call.headers.attempt_id,
+                "route": str(journey.route.id),
+                "service": str(journey.service),
+                "attempt": journey.arrived + 1,
+                "left_ms": round((journey.until - now) * 1000),
+                "table": table.version if table else None,
+                "belief_age_ms": round(self._beliefs.get_age(now) * 1000),
+                **choice.describe(),
+            },
+        )
+
+    def _note_failure(self, journey: Journey, failure: ExchangeFailed) -> None:
+        log.warning(
+            "attempt failed",
+            extra={
+                "id": journey.call.headers.attempt_id,
+                "upstream": str(journey.upstream),
+                "end": failure.end.value,
+                "why": failure.reason,
+            },
+        )
+
+    def _break_stream(self, journey: Journey, why: str) -> StreamBroken:
+        """Return the error that ends the caller's connection."""
+        log.warning(
+            "stream broken",
+            extra={
+                "id": journey.call.headers.attempt_id,
+                "upstream": str(journey.upstream),
+                "why": why,
+            },
+        )
+        return StreamBroken(why)
+
     def _limit_silence(self, journey: Journey) -> float:
         """Return until when the first byte of an answer is waited for."""
         if not self._can_move(journey):
--- a/src/fescueflow/gateway/logs.py
+++ b/src/fescueflow/gateway/logs.py
@@ -13,8 +13,8 @@
 
 # Lines that wait for the reader of the output; later ones are dropped and counted.
 LINES_MAX = 2000
-# Lines a second of one kind, which is its channel and level; warnings and errors
-# have a limit of their own, so that they are the last to be left out.
+# Lines a second of one kind, which is its channel, text and level; warnings and errors
+# have higher limits, so that refusals and failures are the last to be left out.
 LINES_PER_S = {logbook.INFO: 60, logbook.WARNING: 100, logbook.ERROR: 200}
 SUMMARY_S = 5.0
 
@@ -26,15 +26,21 @@
     ----------
     stream : file object
     level : int, optional
+
+    Attributes
+    ----------
+    instance : str
+        Named in every line.
     """
 
     def __init__(self, stream: TextIO, level: int = logbook.INFO) -> None:
         super().__init__(level=level)
+        self.instance = ""
         self._stream = stream
         self._lines: deque[str] = deque()
         self._has_lines = threading.Event()
         self._left_out: Counter[str] = Counter()
-        self._used: Counter[tuple[str, int]] = Counter()
+        self._used: Counter[tuple[str, str, int]] = Counter()
         self._second = 0
         self._counted_at = time.monotonic()
         threading.Thread(target=self._write_all, name="log", daemon=True).start()
@@ -44,17 +50,19 @@
         second = int(time.monotonic())
         if second != self._second:
             self._second, self._used = second, Counter()
-        kind = (record.channel, record.level)
+        kind = (record.channel, record.msg, record.level)
         self._used[kind] += 1
         over = self._used[kind] > LINES_PER_S.get(record.level, LINES_MAX)
         if over or len(self._lines) >= LINES_MAX:
-            self._left_out[record.channel] += 1
+            self._left_out[f"{record.channel}: {record.msg}"] += 1
             return
         line = {
             "time": record.time.isoformat() + "Z",
+            "instance": self.instance,
             "level": record.level_name.lower(),
             "channel": record.channel,
             "message": record.message,
+            **record.extra,
         }
         if record.formatted_exception:
             line["exception"] = record.formatted_exception
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -271,6 +271,7 @@
                 log.error("settings: {}", problem)
             handler.flush_within(1.0)
             return EXIT_INVALID
+        handler.instance = boot.instance
         gateway = Gateway(boot, SystemClock(), SystemRandomness())
         ended = threading.Event()
         signal.signal(signal.SIGTERM, lambda *_: ended.set())
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -95,7 +95,9 @@
         name = UpstreamId(item.key.removeprefix(UPSTREAMS_PREFIX))
         if item.value is None:
             at_once = self._beliefs.remove_upstream(name, now)
-            log.info("upstream {} removed, in force: {}", name, at_once)
+            log.info(
+                "upstream removed", extra={"upstream": str(name), "at_once": at_once}
+            )
             return
         try:
             upstream = parse_upstream(item.key, item.value, now)
@@ -105,13 +107,14 @@
             log.warning("entry {} left out: {}", item.key, error)
             return
         self._beliefs.put_upstream(upstream)
-        cold_s = max(0.0, upstream.cold_until - now)
         log.info(
-            "upstream {} {} in {}, cold for {:.1f} s",
-            name,
-            upstream.state.value,
-            upstream.zone,
-            cold_s,
+            "upstream listed",
+            extra={
+                "upstream": str(name),
+                "state": upstream.state.value,
+                "zone": str(upstream.zone),
+                "cold_ms": round(max(0.0, upstream.cold_until - now) * 1000),
+            },
         )
 
 
--- /dev/null
+++ b/tests/gateway/test_logs.py
@@ -0,0 +1,70 @@
+"""Bounded log output."""
+
+import json
+import threading
+import time
+import unittest
+
+import logbook
+
+from fescueflow.gateway.logs import LINES_MAX, LINES_PER_S, BoundedHandler
+
+log = logbook.Logger("test")
+
+
+class StalledStream:
+    """Output whose reader has stopped reading."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.text = ""
+
+    def write(self, text):
+        self.released.wait()
+        self.text += text
+
+    def flush(self):
+        """Do nothing."""
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    """Guards against requests that wait for a reader of the log."""
+
+    def setUp(self):
+        self.stream = StalledStream()
+        self.handler = BoundedHandler(self.stream)
+        self.handler.instance = "i1"
+        self.addCleanup(self.stream.released.set)
+
+    def test_stalled_reader_holds_up_nobody(self):
+        done = threading.Event()
+
+        def write_all():
+            with self.handler.threadbound():
+                for number in range(3 * LINES_MAX):
+                    log.error(f"kind {number}", extra={"id": number})
+            done.set()
+
+        threading.Thread(target=write_all, daemon=True).start()
+        # Writing to the stream would never end.
+        self.assertTrue(done.wait(60))
+        self.assertLessEqual(len(self.handler._lines), LINES_MAX)
+
+    def test_flood_of_one_kind_leaves_room_for_failures(self):
+        with self.handler.threadbound():
+            for _ in range(20 * LINES_PER_S[logbook.INFO]):
+                log.info("placed")
+            log.warning("not answered", extra={"id": "a1", "status": 503})
+        self.stream.released.set()
+        until = time.monotonic() + 20
+        while "not answered" not in self.stream.text:
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.01)
+        lines = [json.loads(text) for text in self.stream.text.splitlines()]
+        self.assertEqual(lines[-1]["id"], "a1")
+        self.assertEqual(lines[-1]["instance"], "i1")
+        self.assertLess(len(lines), 10 * LINES_PER_S[logbook.INFO])
+
+
+if __name__ == "__main__":
+    unittest.main()
