--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 SECONDS_LONG ?= 120
 
-.PHONY: test demo measure soak binary install lint format generate fuzz
+.PHONY: test demo measure soak binary install lint format generate fuzz bench hunt
 
 install: $(VENV)/.installed
 
@@ -41,6 +41,13 @@
 soak: install
 	$(BIN)/python -m tests.soak --seed $(SEED) --seconds $(SECONDS_LONG)
 
+# SITE: path of a site file. SEED and DAYS of `bench` and COUNT of `hunt` are optional.
+bench: install
+	$(BIN)/python -m tests.bench bench --site $(SITE) $(if $(filter command line,$(origin SEED)),--seed $(SEED)) $(if $(DAYS),--days $(DAYS))
+
+hunt: install
+	$(BIN)/python -m tests.bench hunt --site $(SITE) --days $(or $(COUNT),40)
+
 binary: build/fescueflow
 
 build/fescueflow: install pyproject.toml $(shell find src -name '*.py' -o -name '*.capnp')
