Leave a replaced upstream out; one set of error types

Change: an upstream whose address answers for another server is left out for three heartbeats (test failed before: 8 of 8 requests asked it).

--- a/src/fescueflow/api/application.py
+++ b/src/fescueflow/api/application.py
@@ -13,12 +13,19 @@
 from fescueflow.api.reading import Environment, read_call, read_path, read_query
 from fescueflow.audit import AuditKind, AuditTrail
 from fescueflow.configuration import ConfigurationStore
-from fescueflow.core import Clock, Moved, Outcome, RequestError, SystemClock
+from fescueflow.core import (
+    Clock,
+    Moved,
+    Outcome,
+    RequestError,
+    SystemClock,
+    describe_error,
+)
 from fescueflow.delivery import Answer, Call, Dispatcher, StreamBody
 from fescueflow.membership import ListService, MembershipService
 from fescueflow.metrics import Metrics
 from fescueflow.placement import PlacementService
-from fescueflow.requests import RequestService, describe_error
+from fescueflow.requests import RequestService
 from fescueflow.rights import RightsService
 from fescueflow.schema import Settings
 
--- a/src/fescueflow/api/server.py
+++ b/src/fescueflow/api/server.py
@@ -17,10 +17,15 @@
 from fescueflow.api.application import TRY_WRITE_KEY, Application
 from fescueflow.api.operations import JSON_TYPE
 from fescueflow.api.threads import ReservedThreads
-from fescueflow.core import BodyTooLarge, InvalidRequest, Outcome, RequestError
+from fescueflow.core import (
+    BodyTooLarge,
+    InvalidRequest,
+    Outcome,
+    RequestError,
+    describe_error,
+)
 from fescueflow.delivery import StreamCut
 from fescueflow.http1 import DirectChannel
-from fescueflow.requests import describe_error
 from fescueflow.schema import Settings
 
 HEADER_BYTES_MAX = 65536
--- a/src/fescueflow/core/errors.py
+++ b/src/fescueflow/core/errors.py
@@ -4,6 +4,8 @@
 status, a machine-readable type and whether the request ran.
 """
 
+from typing import Any
+
 from fescueflow.core.states import Outcome
 
 
@@ -171,6 +173,19 @@
     type = "outcome_unknown"
 
 
+def describe_error(error: RequestError) -> dict[str, Any]:
+    """Return an error as callers see it, ready for JSON."""
+    return {
+        "error": {
+            "type": error.type,
+            "message": error.message,
+            "outcome": error.outcome.value,
+            "retry_after_ms": error.retry_after_ms,
+            "address": error.address,
+        }
+    }
+
+
 __all__ = [
     "BodyTooLarge",
     "DeadlineExceeded",
@@ -191,4 +206,5 @@
     "UnknownCustomer",
     "UnknownModel",
     "UpstreamFailed",
+    "describe_error",
 ]
--- a/src/fescueflow/delivery/streams.py
+++ b/src/fescueflow/delivery/streams.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable, Generator, Iterator
 
-from fescueflow.core import RequestError, UpstreamFailed
+from fescueflow.core import RequestError, UpstreamFailed, describe_error
 from fescueflow.delivery.attempts import Attempt, choose_outcome
 from fescueflow.delivery.events import (
     DONE,
@@ -15,7 +15,6 @@
 from fescueflow.delivery.exchange import AttemptFailed, FailureReason
 from fescueflow.delivery.relays import KEEPALIVE, AttemptRelay, TryWrite
 from fescueflow.delivery.retries import Delivery
-from fescueflow.requests import describe_error
 from fescueflow.schema import SlotOutcome
 
 RESUME_PAUSE_S = 0.05
--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -7,7 +7,7 @@
 
 import logbook
 
-from fescueflow.core import Clock
+from fescueflow.core import Clock, InvalidRequest, RequestError, describe_error
 from fescueflow.gateway.forwarding import Answer, Call, Forwarder
 from fescueflow.gateway.peers import PeerTable, choose_addresses
 from fescueflow.metrics import Metrics
@@ -19,7 +19,6 @@
     make_directory_body,
     read_call_headers,
 )
-from fescueflow.routing import GatewayError, InvalidCall
 
 REQUEST_URI = "fescueflow.request_uri"
 JSON_TYPE = "application/json"
@@ -58,12 +57,12 @@
 
     Raises
     ------
-    InvalidCall
+    InvalidRequest
     """
     length = int(environ.get("CONTENT_LENGTH") or 0)
     body = environ["wsgi.input"].read(length) if length else b""
     if len(body) != length:
-        raise InvalidCall("the body is not complete")
+        raise InvalidRequest("the body is not complete")
     is_gone = environ.get("waitress.client_disconnected")
     return Call(
         method=environ["REQUEST_METHOD"],
@@ -99,7 +98,7 @@
         attempt_id = environ.get("HTTP_X_ATTEMPT_ID", "")
         try:
             answer = self._forwarder.forward(read_call(environ, began))
-        except GatewayError as error:
+        except RequestError as error:
             answer = make_error_answer(error)
             self._note_failure(attempt_id, error, began)
         else:
@@ -123,7 +122,7 @@
         start_response(f"{answer.status} {reason}", headers)
         return body  # type: ignore[return-value]
 
-    def _note_failure(self, attempt_id: str, error: GatewayError, began: float) -> None:
+    def _note_failure(self, attempt_id: str, error: RequestError, began: float) -> None:
         log.warning(
             "not answered",
             extra={
@@ -132,24 +131,20 @@
                 "type": error.type,
                 "outcome": error.outcome.value,
                 "why": error.message,
-                "retry_after_s": error.retry_after_s,
+                "retry_after_ms": error.retry_after_ms,
                 "after_ms": round((self._clock.monotonic() - began) * 1000),
             },
         )
         self._metrics.count("requests", outcome=error.type)
 
 
-def make_error_answer(error: GatewayError) -> Answer:
+def make_error_answer(error: RequestError) -> Answer:
     """Return the answer for a request that no upstream has answered."""
-    body = {
-        "type": error.type,
-        "message": error.message,
-        "outcome": error.outcome.value,
-    }
+    body = json.dumps(describe_error(error)).encode()
     headers = [("Content-Type", JSON_TYPE)]
-    if error.retry_after_s is not None:
-        headers.append(("Retry-After", f"{error.retry_after_s:.2f}"))
-    return Answer(error.status, headers, json.dumps(body).encode())
+    if error.retry_after_ms is not None:
+        headers.append(("Retry-After", f"{error.retry_after_ms / 1000:.2f}"))
+    return Answer(error.status, headers, body)
 
 
 class PageApplication:
--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -64,7 +64,9 @@
         exchange = self.exchange
         exchange.read_head(until, attempt_id)
         status = exchange.status
-        if exchange.get_header(NOT_RUN) or status == MISDIRECTED_STATUS:
+        if status == MISDIRECTED_STATUS:
+            raise ExchangeFailed(AttemptEnd.MISDIRECTED, "another server answers")
+        if exchange.get_header(NOT_RUN):
             raise ExchangeFailed(AttemptEnd.REFUSED, f"refused with status {status}")
         if exchange.get_header(SEAL) is None:
             raise ExchangeFailed(AttemptEnd.BROKEN, f"status {status} without a seal")
@@ -181,8 +183,12 @@
 
     def note_failure(self, attempt: Attempt, failure: ExchangeFailed) -> None:
         """Note a failed attempt."""
-        if failure.end is not AttemptEnd.REFUSED:
-            self._note_unhealthy(attempt.choice.upstream.id)
+        upstream = attempt.choice.upstream.id
+        if failure.end is AttemptEnd.MISDIRECTED:
+            self._chooser.note_replaced(upstream)
+            log.warning("upstream replaced", extra={"upstream": str(upstream)})
+        elif failure.end is not AttemptEnd.REFUSED:
+            self._note_unhealthy(upstream)
         self._metrics.count("attempts", end=failure.end.value)
 
     def _note_unhealthy(self, upstream: UpstreamId) -> None:
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from fescueflow.core import Clock, UpstreamId
+from fescueflow.core import Clock, Overloaded, UpstreamId
 from fescueflow.gateway.beliefs import Beliefs
 from fescueflow.gateway.loads import LoadBook, Ticket, make_load
 from fescueflow.gateway.peers import PeerTable
@@ -14,8 +14,6 @@
     ColdPace,
     HolderNews,
     HolderTable,
-    NoUpstream,
-    Overloaded,
     Placement,
     Prompt,
     RepeatBudget,
@@ -27,9 +25,11 @@
     rank_placements,
 )
 
-# When a caller that no upstream can take may return, in seconds: an upstream that
-# was left out is tried again after this time.
-RETURN_S = 0.5
+# When a caller that no upstream can take may return, in milliseconds: an upstream
+# that was left out is tried again after this time.
+RETURN_MS = 500
+# Heartbeats of silence after which an upstream's entry lapses.
+LAPSE_HEARTBEATS = 3.0
 
 
 @dataclass(frozen=True)
@@ -88,7 +88,7 @@
         self._pace = ColdPace()
         self._holders = HolderTable()
         self._budget = RepeatBudget(
-            boot.repeat_ratio, boot.repeat_allowance, boot.repeat_window_s
+            boot.repeat_ratio, boot.repeat_base, boot.repeat_window_s
         )
 
     def note_first(self, service: ServiceId) -> None:
@@ -112,6 +112,18 @@
         with self._lock:
             return self._health.note_failure(upstream, self._clock.monotonic())
 
+    def note_replaced(self, upstream: UpstreamId) -> None:
+        """Note that another server has the address of an upstream.
+
+        Notes
+        -----
+        Its entry lapses three heartbeats after its end; until then it is left out.
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            until = now + LAPSE_HEARTBEATS * self._boot.server_heartbeat_s
+            self._health.leave_out(upstream, until)
+
     def merge_news(self, news: Iterable[HolderNews]) -> None:
         """Take over where other instances have found parts of prompts."""
         with self._lock:
@@ -143,7 +155,6 @@
 
         Raises
         ------
-        NoUpstream
         Overloaded
         """
         now = self._clock.monotonic()
@@ -151,7 +162,7 @@
         with self._lock:
             usable = self._find_usable(listed, tried, now)
             if not usable:
-                raise NoUpstream("no upstream takes work", retry_after_s=RETURN_S)
+                raise Overloaded("no upstream takes work", retry_after_ms=RETURN_MS)
             totals = self._loads.sum_loads(now)
             candidates = [
                 Candidate(u, make_load(totals, u.id, self._health.get_rate(u.id)))
@@ -167,14 +178,14 @@
             )
             chosen = self._take_pace(placements, now)
             if chosen is None:
-                raise NoUpstream("all upstreams are cold", retry_after_s=RETURN_S)
+                raise Overloaded("all upstreams are cold", retry_after_ms=RETURN_MS)
             hold_ms = self._loads.get_hold_s(service) * 1000
             verdict = judge([chosen], remaining_s * 1000, hold_ms, 0.0)
             if not verdict.is_admitted:
                 raise Overloaded(
                     f"the answer is expected after {verdict.prediction.answer_ms:.0f}"
                     f" ms, {remaining_s * 1000:.0f} ms are left",
-                    retry_after_s=verdict.retry_after_s,
+                    retry_after_ms=round(verdict.retry_after_s * 1000),
                 )
             upstream = chosen.candidate.upstream
             self._holders.note(service, prompt.key, upstream.id, listed, now)
@@ -208,4 +219,4 @@
         return None
 
 
-__all__ = ["Choice", "Chooser"]
+__all__ = ["RETURN_MS", "Choice", "Chooser"]
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -5,11 +5,11 @@
 import select
 from collections.abc import Callable, Iterator
 
-from fescueflow.core import Clock, FescueflowError
+from fescueflow.core import Clock, FescueflowError, InvalidRequest
 from fescueflow.gateway.connections import UpstreamConnection
 from fescueflow.http1 import ChunkDecoder
 from fescueflow.platform import ATTEMPT_ID, Headers
-from fescueflow.routing import AttemptEnd, CallerGone, InvalidCall
+from fescueflow.routing import AttemptEnd, CallerGone
 
 READ_BYTES = 65536
 # How often a wait looks whether the caller is still there, in seconds; work for a
@@ -48,7 +48,7 @@
 
     Raises
     ------
-    InvalidCall
+    InvalidRequest
         If a part of it can't be written.
     """
     collector = Collector()
@@ -63,7 +63,7 @@
             writer.putheader("Content-Length", str(len(body)))
         writer.endheaders(body or None)
     except (ValueError, http.client.HTTPException) as error:
-        raise InvalidCall("the request can't be passed on") from error
+        raise InvalidRequest("the request can't be passed on") from error
     return collector.data
 
 
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -5,12 +5,28 @@
 
 import logbook
 
-from fescueflow.core import Clock, CustomerId, UpstreamId
+from fescueflow.core import (
+    BodyTooLarge,
+    Clock,
+    CustomerId,
+    DeadlineExceeded,
+    NotReady,
+    Outcome,
+    Overloaded,
+    RequestError,
+    UpstreamFailed,
+    UpstreamId,
+)
 from fescueflow.gateway.attempts import Attempt, AttemptClient
 from fescueflow.gateway.beliefs import Beliefs
-from fescueflow.gateway.choice import Choice, Chooser
+from fescueflow.gateway.choice import RETURN_MS, Choice, Chooser
 from fescueflow.gateway.exchange import ExchangeFailed
-from fescueflow.gateway.streams import EventSplitter, StreamBody, StreamBroken
+from fescueflow.gateway.streams import (
+    EventSplitter,
+    StreamBody,
+    StreamBroken,
+    chain,
+)
 from fescueflow.platform import (
     CallHeaders,
     Headers,
@@ -19,17 +35,11 @@
 )
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
-    AnswerFailed,
     AttemptEnd,
-    BodyOverLimit,
     CallerGone,
-    DeadlinePassed,
-    GatewayError,
-    NoTable,
     Route,
     RouteKind,
     ServiceId,
-    TurnedAway,
     choose_service,
     find_customer,
     find_route,
@@ -126,7 +136,7 @@
 
         Raises
         ------
-        GatewayError
+        RequestError
         """
         journey = self._begin(call)
         self._chooser.note_first(journey.service)
@@ -135,7 +145,7 @@
                 answer = self._attempt(journey)
                 if answer is not None:
                     return answer
-        except GatewayError as error:
+        except RequestError as error:
             if journey.fallback is not None:
                 return journey.fallback
             raise self._describe(journey, error) from error
@@ -145,7 +155,7 @@
 
         Raises
         ------
-        GatewayError
+        RequestError
         """
         attempt = None
         try:
@@ -157,7 +167,7 @@
             self._note_failure(journey, failure)
             self._check_repeat(journey, failure)
             return None
-        except GatewayError:
+        except RequestError:
             if attempt is not None:
                 attempt.cancel()
             raise
@@ -165,11 +175,11 @@
     def _begin(self, call: Call) -> Journey:
         table = self._beliefs.get_table()
         if table is None:
-            raise NoTable("no configuration is known yet", retry_after_s=0.5)
+            raise NotReady("no configuration is known yet", retry_after_ms=RETURN_MS)
         route = find_route(table, call.host, call.target.partition("?")[0])
         customer = find_customer(table, route, call.headers.key)
         if len(call.body) > table.limits.body_bytes:
-            raise BodyOverLimit(f"the body exceeds {table.limits.body_bytes} bytes")
+            raise BodyTooLarge(f"the body exceeds {table.limits.body_bytes} bytes")
         limit_s = route.timeout_s
         if call.headers.deadline_s is not None:
             limit_s = min(limit_s, call.headers.deadline_s)
@@ -189,7 +199,7 @@
         """Choose an upstream, send the request and read the head of the answer."""
         call, now = journey.call, self._clock.monotonic()
         if now >= journey.until:
-            raise DeadlinePassed("the deadline passed")
+            raise DeadlineExceeded("the deadline passed")
         prompt = call.headers.prompt
         choice = self._chooser.choose(
             journey.service, prompt, journey.tried, journey.until - now
@@ -213,7 +223,7 @@
         except ExchangeFailed as failure:
             attempt.fail(failure)
             raise
-        except GatewayError:
+        except RequestError:
             attempt.cancel()
             raise
         return attempt
@@ -267,7 +277,7 @@
                 attempt.fail(failure)
                 self._note_failure(journey, failure)
                 journey.attempt = self._move(journey, splitter, failure)
-            except GatewayError as error:
+            except RequestError as error:
                 attempt.cancel()
                 raise self._break_stream(journey, error.message) from error
 
@@ -299,7 +309,7 @@
                 failure = next_failure
                 self._note_failure(journey, failure)
                 continue
-            except GatewayError as error:
+            except RequestError as error:
                 raise self._break_stream(journey, error.message) from error
             if attempt.exchange.status == 200:
                 return attempt
@@ -312,13 +322,13 @@
 
         Raises
         ------
-        GatewayError
+        RequestError
         """
         end = failure.end
         journey.may_have_run = journey.may_have_run or end.has_run
         now = self._clock.monotonic()
         if now >= journey.until:
-            raise DeadlinePassed("the deadline passed")
+            raise DeadlineExceeded("the deadline passed")
         if not may_repeat(journey.route, end, journey.arrived):
             raise make_error(failure)
         if end is not AttemptEnd.NOT_SENT and not self._chooser.take_repeat(
@@ -326,12 +336,12 @@
         ):
             raise make_error(failure)
 
-    def _describe(self, journey: Journey, error: GatewayError) -> GatewayError:
+    def _describe(self, journey: Journey, error: RequestError) -> RequestError:
         """Return the error that is true of the whole request."""
-        if isinstance(error, TurnedAway) and journey.may_have_run:
-            return AnswerFailed(error.message)
-        if isinstance(error, DeadlinePassed) and not journey.arrived:
-            return TurnedAway(error.message)
+        if error.outcome is Outcome.NOT_RUN and journey.may_have_run:
+            return UpstreamFailed(error.message)
+        if isinstance(error, DeadlineExceeded) and not journey.arrived:
+            return Overloaded(error.message)
         return error
 
     def _note_choice(self, journey: Journey, choice: Choice, now: float) -> None:
@@ -382,18 +392,11 @@
         return min(journey.until, self._clock.monotonic() + silence_s)
 
 
-def chain(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
-    """Yield the first part, if it is not empty, and the rest."""
-    if first:
-        yield first
-    yield from rest
-
-
-def make_error(failure: ExchangeFailed) -> GatewayError:
+def make_error(failure: ExchangeFailed) -> RequestError:
     """Return the caller's error for a failed attempt."""
     if failure.end.has_run:
-        return AnswerFailed(failure.reason)
-    return TurnedAway(failure.reason, retry_after_s=0.3)
+        return UpstreamFailed(failure.reason)
+    return Overloaded(failure.reason, retry_after_ms=RETURN_MS)
 
 
 __all__ = ["Answer", "Call", "CallerGone", "Forwarder"]
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -66,4 +66,11 @@
         self.end()
 
 
-__all__ = ["EventSplitter", "StreamBody", "StreamBroken"]
+def chain(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield the first part, if it is not empty, and the rest."""
+    if first:
+        yield first
+    yield from rest
+
+
+__all__ = ["EventSplitter", "StreamBody", "StreamBroken", "chain"]
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -40,7 +40,7 @@
     reuse_delay_s: float
     repeat_ratio: float
     repeat_window_s: float
-    repeat_allowance: float
+    repeat_base: float
     cold_overrun: float
     imbalance_factor: float
 
@@ -138,7 +138,7 @@
     ("repeat_ratio", "bounds.retry_ratio", check_number),
     ("repeat_window_s", "bounds.retry_window_s", check_number),
     # The file's name for repeats that are allowed besides the ratio.
-    ("repeat_allowance", "bounds.retry_allowance", check_number),
+    ("repeat_base", "bounds.retry_allowance", check_number),
     ("cold_overrun", "bounds.cold_overrun", check_number),
     ("imbalance_factor", "bounds.imbalance_factor", check_number),
 )
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from fescueflow.core import CustomerId, UpstreamId
-from fescueflow.routing import InvalidCall, Prompt, parse_prompt
+from fescueflow.core import CustomerId, InvalidRequest, UpstreamId
+from fescueflow.routing import Prompt, parse_prompt
 
 Headers = list[tuple[str, str]]
 
@@ -84,7 +84,7 @@
 
     Raises
     ------
-    InvalidCall
+    InvalidRequest
     """
     found = {name.lower(): value for name, value in headers}
     passed_on = [
@@ -100,7 +100,7 @@
             found.get(PROMPT_PARTS.lower(), ""), found.get(TOKEN_COUNTS.lower(), "")
         )
     except ValueError as error:
-        raise InvalidCall(f"a header is malformed: {error}") from error
+        raise InvalidRequest(f"a header is malformed: {error}") from error
     is_key = key.lower().startswith(KEY_SCHEME)
     return CallHeaders(
         attempt_id=found.get(ATTEMPT_ID.lower(), ""),
--- a/src/fescueflow/requests/__init__.py
+++ b/src/fescueflow/requests/__init__.py
@@ -3,7 +3,6 @@
 from fescueflow.requests.errors import (
     AnswerNotKept,
     decode_error,
-    describe_error,
     encode_error,
 )
 from fescueflow.requests.identifiers import ParsedRequestId, RequestId, RequestIdCodec
@@ -22,6 +21,5 @@
     "RequestRecord",
     "RequestService",
     "decode_error",
-    "describe_error",
     "encode_error",
 ]
--- a/src/fescueflow/requests/errors.py
+++ b/src/fescueflow/requests/errors.py
@@ -1,10 +1,9 @@
 """Errors as JSON, and as answers between instances."""
 
 import json
-from typing import Any
 
 from fescueflow import core
-from fescueflow.core import Outcome, OutcomeUnknown, RequestError
+from fescueflow.core import Outcome, OutcomeUnknown, RequestError, describe_error
 from fescueflow.schema import Header, SubmitAnswer
 
 ERROR_HEADER = "Fescueflow-Error"
@@ -28,19 +27,6 @@
 ERROR_TYPES = find_error_types()
 
 
-def describe_error(error: RequestError) -> dict[str, Any]:
-    """Return an error as callers see it, ready for JSON."""
-    return {
-        "error": {
-            "type": error.type,
-            "message": error.message,
-            "outcome": error.outcome.value,
-            "retry_after_ms": error.retry_after_ms,
-            "address": error.address,
-        }
-    }
-
-
 def encode_error(error: RequestError) -> SubmitAnswer:
     """Return an error as an answer to another instance."""
     return SubmitAnswer(
@@ -80,7 +66,6 @@
 __all__ = [
     "AnswerNotKept",
     "decode_error",
-    "describe_error",
     "encode_error",
     "remove_error_header",
 ]
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -4,20 +4,7 @@
 """
 
 from fescueflow.routing.admission import Prediction, Verdict, judge, predict
-from fescueflow.routing.errors import (
-    AnswerFailed,
-    BodyOverLimit,
-    CallerGone,
-    DeadlinePassed,
-    GatewayError,
-    InvalidCall,
-    NoRoute,
-    NoTable,
-    NoUpstream,
-    Overloaded,
-    TurnedAway,
-    UnknownKey,
-)
+from fescueflow.routing.errors import CallerGone, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdPace, UpstreamHealth
 from fescueflow.routing.holders import HolderNews, HolderTable
 from fescueflow.routing.model import (
@@ -52,24 +39,16 @@
 __all__ = [
     "PRIORITY_DEFAULT",
     "PROMPT_TOKENS_PER_MS",
-    "AnswerFailed",
     "AttemptEnd",
-    "BodyOverLimit",
     "CallerGone",
     "CallerLimits",
     "Candidate",
     "ColdPace",
     "Customer",
-    "DeadlinePassed",
     "EngineTraits",
-    "GatewayError",
     "HolderNews",
     "HolderTable",
-    "InvalidCall",
     "NoRoute",
-    "NoTable",
-    "NoUpstream",
-    "Overloaded",
     "Placement",
     "Prediction",
     "Prompt",
@@ -80,7 +59,6 @@
     "RoutingTable",
     "Service",
     "ServiceId",
-    "TurnedAway",
     "UnknownKey",
     "Upstream",
     "UpstreamHealth",
--- a/src/fescueflow/routing/health.py
+++ b/src/fescueflow/routing/health.py
@@ -52,6 +52,11 @@
         record.paused_until = now + record.pause_s
         return True
 
+    def leave_out(self, upstream: UpstreamId, until: float) -> None:
+        """Leave an upstream out until a time."""
+        record = self._records.setdefault(upstream, Record())
+        record.paused_until = max(record.paused_until, until)
+
     def is_paused(self, upstream: UpstreamId, now: float) -> bool:
         """Return whether an upstream is left out."""
         record = self._records.get(upstream)
--- a/src/fescueflow/routing/retries.py
+++ b/src/fescueflow/routing/retries.py
@@ -19,6 +19,7 @@
 
     NOT_SENT = "not_sent"
     REFUSED = "refused"
+    MISDIRECTED = "misdirected"
     SILENT = "silent"
     BROKEN = "broken"
     SERVER_ERROR = "server_error"
@@ -26,7 +27,7 @@
     @property
     def has_run(self) -> bool:
         """Whether the upstream may have run the request."""
-        return self not in {AttemptEnd.NOT_SENT, AttemptEnd.REFUSED}
+        return self not in NOT_RUN_ENDS
 
 
 def may_repeat(route: Route, end: AttemptEnd, arrived: int) -> bool:
@@ -45,6 +46,11 @@
     return route.is_repeatable or not end.has_run
 
 
+NOT_RUN_ENDS = frozenset(
+    {AttemptEnd.NOT_SENT, AttemptEnd.REFUSED, AttemptEnd.MISDIRECTED}
+)
+
+
 class RepeatBudget:
     """Repeats to one service in a sliding window, this instance's part.
 
@@ -52,14 +58,14 @@
     ----------
     ratio : float
         Repeats for each first attempt.
-    allowance : float
+    base : float
         Repeats in a window besides, for the whole fleet.
     window_s : float
     """
 
-    def __init__(self, ratio: float, allowance: float, window_s: float) -> None:
+    def __init__(self, ratio: float, base: float, window_s: float) -> None:
         self._ratio = ratio
-        self._allowance = allowance
+        self._base = base
         self._window_s = window_s
         self._firsts: dict[ServiceId, deque[float]] = {}
         self._repeats: dict[ServiceId, deque[float]] = {}
@@ -72,7 +78,7 @@
         """Count a repeat and return True, or return False if there is none left."""
         firsts = len(self._trim(self._firsts, service, now))
         repeats = self._trim(self._repeats, service, now)
-        share = self._allowance / max(1, instances)
+        share = self._base / max(1, instances)
         if len(repeats) + 1 > BUDGET_PART * (self._ratio * firsts + share):
             return False
         repeats.append(now)
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -92,6 +92,7 @@
         self.name = name
         self.script = script
         self.arrivals = []
+        self.misdirected = 0
         self.cancelled = threading.Event()
         self._server = start_server(self._make_handler())
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
@@ -126,6 +127,7 @@
                 length = int(self.headers.get("Content-Length", 0))
                 self.body = self.rfile.read(length)
                 if self.headers["X-Expect-Instance"] != upstream.name:
+                    upstream.misdirected += 1
                     self.send_whole(421, [], b"")
                     return
                 upstream.arrivals.append((self.path, dict(self.headers), self.body))
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -177,6 +177,13 @@
         for number in range(6):
             self.assertEqual(self.call(f"/once/{number}")[0], 200)
 
+    def test_replaced_upstream_is_left_out(self):
+        # Its entry stays for some seconds; another server has the address.
+        self.upstreams[0].name = "u9"
+        for number in range(8):
+            self.assertEqual(self.call(f"/once/{number}")[0], 200)
+        self.assertLessEqual(self.upstreams[0].misdirected, 1)
+
     def test_refused_everywhere(self):
         refuse = [("X-Not-Executed", "1")]
         self.set_script(*[lambda h: h.send_sealed(503, b"", refuse)] * 2)
