--- a/src/fescueflow/gateway/beliefs.py
+++ b/src/fescueflow/gateway/beliefs.py
@@ -131,15 +131,6 @@
         with self._lock:
             return list(self._upstreams.values())
 
-    def is_listed(self, upstream: Upstream) -> bool:
-        """Return whether an upstream may still get work."""
-        known = self._upstreams.get(upstream.id)
-        return (
-            known is not None
-            and known.state is UpstreamState.READY
-            and known.zone not in self._withdrawn
-        )
-
     def _mark_cold(self, upstream: Upstream, now: float) -> Upstream:
         table = self._table
         service = table.services.get(upstream.service) if table else None
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -38,7 +38,6 @@
 )
 from fescueflow.platform.wire import (
     ATTEMPT_ID,
-    COLD_MS,
     METRICS_PATH,
     MISDIRECTED_STATUS,
     NOT_RUN,
@@ -57,7 +56,6 @@
 __all__ = [
     "ANSWER_BYTES_MAX",
     "ATTEMPT_ID",
-    "COLD_MS",
     "METRICS_PATH",
     "MISDIRECTED_STATUS",
     "NOT_RUN",
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -16,7 +16,6 @@
 class BootSettings:
     """What a process is told at its start; times are in seconds.
 
-    ``first_start`` is true only when the whole fleet starts for the first time.
     ``server_heartbeat_s`` is the interval at which upstreams renew their entries.
     """
 
@@ -30,18 +29,12 @@
     peer_port: int
     seed_hosts: tuple[str, ...]
     store_address: str
-    store_reads_per_s: float
-    first_start: bool
     server_heartbeat_s: float
     address_keep_max_s: float
     grace_s: float
-    drain_s: float
-    stable_s: float
-    reuse_delay_s: float
     repeat_ratio: float
     repeat_window_s: float
     repeat_base: float
-    cold_overrun: float
     imbalance_factor: float
 
 
@@ -94,13 +87,6 @@
     return check_number(value) / 1000
 
 
-def check_flag(value: Any) -> bool:
-    """Return a truth value."""
-    if not isinstance(value, bool):
-        raise ValueError(f"{value!r} is not true or false")
-    return value
-
-
 def check_first_port(value: Any) -> int:
     """Return the first port of a range."""
     if not isinstance(value, list) or len(value) != 2:
@@ -127,19 +113,13 @@
     ("peer_port", "internal_ports", check_first_port),
     ("seed_hosts", "seed_nodes", check_hosts),
     ("store_address", "platform.address", check_address),
-    ("store_reads_per_s", "platform.reads_per_s", check_number),
-    ("first_start", "bootstrap", check_flag),
     ("server_heartbeat_s", "heartbeat_ms", check_milliseconds),
     ("address_keep_max_s", "bounds.ttl_max_s", check_number),
     ("grace_s", "bounds.grace_period_s", check_number),
-    ("drain_s", "bounds.drain_timeout_ms", check_milliseconds),
-    ("stable_s", "bounds.stable_window_ms", check_milliseconds),
-    ("reuse_delay_s", "bounds.reuse_delay_s", check_number),
     ("repeat_ratio", "bounds.retry_ratio", check_number),
     ("repeat_window_s", "bounds.retry_window_s", check_number),
     # The file's name for repeats that are allowed besides the ratio.
     ("repeat_base", "bounds.retry_allowance", check_number),
-    ("cold_overrun", "bounds.cold_overrun", check_number),
     ("imbalance_factor", "bounds.imbalance_factor", check_number),
 )
 
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -25,10 +25,7 @@
 # Tokens of the prompt and the most tokens of the answer.
 TOKEN_COUNTS = "X-Token-Count"  # noqa: S105
 LAST_EVENT = "Last-Event-Id"
-UPSTREAM_ID = "X-Instance-Id"
-UPSTREAM_LOAD = "X-Server-Load"
 PRIORITY = "X-Request-Priority"
-COLD_MS = "X-Cold-Ms"
 
 MISDIRECTED_STATUS = 421
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -160,7 +157,6 @@
 
 __all__ = [
     "ATTEMPT_ID",
-    "COLD_MS",
     "METRICS_PATH",
     "MISDIRECTED_STATUS",
     "NOT_RUN",
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -39,7 +39,6 @@
         leaving = replace(self.upstreams[0], state=UpstreamState.DRAINING)
         self.beliefs.put_upstream(leaving)
         self.assertEqual(self.list_names(), {"u2"})
-        self.assertFalse(self.beliefs.is_listed(self.upstreams[0]))
 
     def test_entries_that_lapsed_in_an_outage_have_time_to_return(self):
         self.beliefs.note_return(10.0)
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -12,18 +12,16 @@
 
     def test_units(self):
         boot = parse_boot(render_boot())
-        self.assertEqual((boot.server_heartbeat_s, boot.drain_s), (1.2, 2.0))
+        self.assertEqual((boot.server_heartbeat_s, boot.grace_s), (1.2, 8.0))
         self.assertEqual(boot.peer_port, 7001)
 
     def test_all_problems_at_once(self):
         text = render_boot(callers=0).replace('zone = "a"', "zone = 3")
-        text = text.replace("reads_per_s = 2000", "")
+        text = text.replace("ttl_max_s = 5", "")
         with self.assertRaises(InvalidSettings) as caught:
             parse_boot(text)
         places = [problem.partition(":")[0] for problem in caught.exception.problems]
-        self.assertEqual(
-            places, ["zone", "listen_addrs.frontend", "platform.reads_per_s"]
-        )
+        self.assertEqual(places, ["zone", "listen_addrs.frontend", "bounds.ttl_max_s"])
 
     def test_no_file(self):
         for environment in ({}, {PATH_VARIABLE: "/nowhere/boot.toml"}):
