--- a/src/fescueflow/requests/errors.py
+++ b/src/fescueflow/requests/errors.py
@@ -20,10 +20,9 @@
 def find_error_types() -> dict[str, type[RequestError]]:
     """Return the error classes that instances exchange, by their type."""
     known = [getattr(core.errors, name) for name in core.errors.__all__]
-    classes: list[type[RequestError]] = [
-        c for c in known if isinstance(c, type) and issubclass(c, RequestError)
-    ]
-    return {c.type: c for c in [*classes, AnswerNotKept]}
+    classes: list[type[RequestError]] = [AnswerNotKept]
+    classes += [c for c in known if isinstance(c, type) and issubclass(c, RequestError)]
+    return {c.type: c for c in classes}
 
 
 ERROR_TYPES = find_error_types()
