--- a/src/fescueflow/gateway/beliefs.py
+++ b/src/fescueflow/gateway/beliefs.py
@@ -126,6 +126,11 @@
                 and upstream.id not in doubted
             ]
 
+    def count_upstreams(self, service: ServiceId) -> int:
+        """Return the number of a service's upstreams, whatever their state."""
+        with self._lock:
+            return sum(u.service == service for u in self._upstreams.values())
+
     def list_all(self) -> list[Upstream]:
         """Return all known upstreams."""
         with self._lock:
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -175,6 +175,7 @@
                 cached,
                 self._boot.imbalance_factor,
                 self._boot.zone,
+                self._beliefs.count_upstreams(service),
             )
             chosen = self._take_pace(placements, now)
             if chosen is None:
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -119,17 +119,27 @@
 
 
 def find_balanced(
-    candidates: Sequence[Candidate], imbalance_factor: float
+    candidates: Sequence[Candidate],
+    imbalance_factor: float,
+    service_size: int | None = None,
 ) -> list[Candidate]:
     """Return the candidates that one more request does not make unbalanced.
 
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+    imbalance_factor : float
+    service_size : int, optional
+        Upstreams of the service, those in withdrawn zones and leaving ones
+        included, over which the mean is taken.
+
     Notes
     -----
     Consistent hashing with bounded loads: Mirrokni, Thorup and Zadimoghaddam,
     SODA 2018.
     """
     total = sum(candidate.load.running for candidate in candidates)
-    mean = total / max(1, len(candidates))
+    mean = total / max(1, len(candidates), service_size or 0)
     bound = IMBALANCE_PART * imbalance_factor * mean + IMBALANCE_SLACK
     return [c for c in candidates if c.load.running + 1 <= bound]
 
@@ -140,6 +150,7 @@
     cached_at: frozenset[UpstreamId],
     imbalance_factor: float,
     near: ZoneId | None = None,
+    service_size: int | None = None,
 ) -> list[Placement]:
     """Return the candidates by rising cost, balanced ones first.
 
@@ -153,8 +164,11 @@
         Largest allowed load as a multiple of the mean.
     near : ZoneId, optional
         Zone of this instance.
+    service_size : int, optional
+        As for ``find_balanced``.
     """
-    balanced = {c.upstream.id for c in find_balanced(candidates, imbalance_factor)}
+    within = find_balanced(candidates, imbalance_factor, service_size)
+    balanced = {candidate.upstream.id for candidate in within}
     placements = [
         Placement(c, estimate_cost_ms(c.load, prompt, held) + way_ms, held)
         for c in candidates
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -325,15 +325,20 @@
 
     def test_leaving_instance_closes_idle_connections(self):
         # Kept open, one took a request that its instance could not finish.
-        idle = socket.create_connection(("127.0.0.1", self.ports["callers"]), WAIT_S)
+        idle = http.client.HTTPConnection("127.0.0.1", self.ports["callers"])
         self.addCleanup(idle.close)
-        request = b"POST /safe/1 HTTP/1.1\r\nHost: fleet.example\r\nX-Attempt-Id: a"
-        idle.sendall(request + b"\r\nAuthorization: Token k1\r\n\r\n")
-        self.assertIn(b"200 OK", idle.recv(10_000))
+        headers = {
+            "Host": "fleet.example",
+            "X-Attempt-Id": "a",
+            "Authorization": "Token k1",
+        }
+        idle.request("POST", "/safe/1", headers=headers)
+        self.assertEqual(idle.getresponse().read(), b"answer")
+        idle.sock.settimeout(WAIT_S)
         leaving = threading.Thread(target=self.gateway.leave)
         leaving.start()
         with contextlib.suppress(ConnectionResetError):
-            self.assertEqual(idle.recv(10_000), b"")
+            self.assertEqual(idle.sock.recv(10_000), b"")
         leaving.join()
 
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -90,6 +90,15 @@
             )
             self.assertEqual(placed[0].candidate.upstream.id, first)
 
+    def test_mean_is_that_of_the_whole_service(self):
+        # Three of seven upstreams are in a withdrawn zone and idle. The mean is 7.9,
+        # the bound of the rules 18.7; the mean of the busy four is 13.8.
+        candidates = [make_candidate(f"u{n}", running=12) for n in range(1, 4)]
+        candidates.append(make_candidate("u4", running=19))
+        names = {c.upstream.id for c in find_balanced(candidates, FACTOR, 7)}
+        self.assertEqual(names, {"u1", "u2", "u3"})
+        self.assertEqual(len(find_balanced(candidates, FACTOR)), 4)
+
     def test_unbalanced_holder_goes_last(self):
         holder = make_candidate("u1", running=20)
         others = [make_candidate(f"u{n}", running=2) for n in range(2, 7)]
