--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -8,7 +8,8 @@
 import logbook
 
 from fescueflow.core import Clock, InvalidRequest, RequestError, describe_error
-from fescueflow.gateway.forwarding import Answer, Call, Forwarder
+from fescueflow.gateway.calls import Answer, Call
+from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.peers import PeerTable, choose_addresses
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -1,24 +1,22 @@
 """Attempts of one request at upstreams, until one brings an answer."""
 
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterator
 
 import logbook
 
 from fescueflow.core import (
     BodyTooLarge,
     Clock,
-    CustomerId,
     DeadlineExceeded,
     NotReady,
     Outcome,
     Overloaded,
     RequestError,
     UpstreamFailed,
-    UpstreamId,
 )
 from fescueflow.gateway.attempts import Attempt, AttemptClient
 from fescueflow.gateway.beliefs import Beliefs
+from fescueflow.gateway.calls import Answer, Call, Journey
 from fescueflow.gateway.choice import RETURN_MS, Choice, Chooser
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.streams import (
@@ -28,18 +26,13 @@
     chain,
 )
 from fescueflow.platform import (
-    CallHeaders,
-    Headers,
     make_upstream_headers,
     select_answer_headers,
 )
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     AttemptEnd,
-    CallerGone,
-    Route,
     RouteKind,
-    ServiceId,
     choose_service,
     find_customer,
     find_route,
@@ -58,55 +51,6 @@
 log = logbook.Logger("forwarding")
 
 
-@dataclass(frozen=True)
-class Call:
-    """A caller's request; ``received_at`` is on the monotonic clock."""
-
-    method: str
-    target: str
-    host: str
-    headers: CallHeaders
-    body: bytes
-    received_at: float
-    is_caller_gone: Callable[[], bool]
-
-
-@dataclass
-class Answer:
-    """Status, headers and body for the caller; a stream's body is an iterator."""
-
-    status: int
-    headers: Headers
-    body: bytes | StreamBody
-
-
-@dataclass
-class Journey:
-    """A request under way and what its attempts have met."""
-
-    call: Call
-    route: Route
-    service: ServiceId
-    customer: CustomerId | None
-    priority: int
-    until: float
-    # Upstreams that the request may have reached, and those not to ask again.
-    arrived: int = 0
-    tried: set[UpstreamId] = field(default_factory=set)
-    may_have_run: bool = False
-    # An upstream's own failure, which is better than none of an upstream.
-    fallback: "Answer | None" = None
-    # The upstream of the present attempt.
-    upstream: UpstreamId | None = None
-    # The attempt whose stream is relayed.
-    attempt: Attempt | None = None
-
-    def cancel(self) -> None:
-        """End the attempt whose stream is relayed."""
-        if self.attempt is not None:
-            self.attempt.cancel()
-
-
 class Forwarder:
     """Serves calls.
 
@@ -399,4 +343,4 @@
     return Overloaded(failure.reason, retry_after_ms=RETURN_MS)
 
 
-__all__ = ["Answer", "Call", "CallerGone", "Forwarder"]
+__all__ = ["Forwarder"]
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -55,6 +55,9 @@
 class PathCase(unittest.TestCase):
     """Starts one instance with two upstreams that answer."""
 
+    # Only tests of a leaving instance need time in it; the others end sooner.
+    grace_s = 0.4
+
     def setUp(self):
         self.store = Store()
         self.addCleanup(self.store.close)
@@ -63,7 +66,7 @@
         names = ("peer_port", "callers", "ready", "directory")
         ports = {name: find_free_port("127.0.0.1") for name in names}
         self.ports = ports
-        boot = make_boot(store=self.store.port, grace_s=2, **ports)
+        boot = make_boot(store=self.store.port, grace_s=self.grace_s, **ports)
         self.gateway = Gateway(boot, SystemClock(), SeededRandomness(1))
         self.gateway.start()
         self.addCleanup(self.gateway.leave)
@@ -312,6 +315,8 @@
 class DirectoryTest(PathCase):
     """Guards against callers that are sent to an instance that leaves."""
 
+    grace_s = 2
+
     def test_leaving_instance_names_itself_no_more(self):
         self.wait_for(lambda: self.get_page("directory", "/resolve?zone=a")[0] == 200)
         body = self.get_page("directory", "/resolve?name=x&zone=a")[1]
