Log the end of a stream with its longest pauses

Late streams could not be told apart in the logs: a pause of the upstream, a caller that does not read, or neither. One line per stream names both pauses.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -21,9 +21,11 @@
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.streams import (
     EventSplitter,
+    RelayTimes,
     StreamBody,
     StreamBroken,
     chain,
+    watch_times,
 )
 from fescueflow.platform import (
     make_upstream_headers,
@@ -191,7 +193,9 @@
         # another one may still be asked.
         first = self._take_first(journey, attempt, splitter)
         headers = [(n, v) for n, v in headers if n.lower() != "content-length"]
-        parts = chain(first, self._relay(journey, splitter))
+        times = RelayTimes()
+        relayed = watch_times(self._relay(journey, splitter, times), times, self._clock)
+        parts = chain(first, relayed)
         return Answer(status, headers, StreamBody(parts, journey.cancel))
 
     def _take_first(
@@ -205,7 +209,9 @@
                 return whole
         return splitter.take_rest()
 
-    def _relay(self, journey: Journey, splitter: EventSplitter) -> Iterator[bytes]:
+    def _relay(
+        self, journey: Journey, splitter: EventSplitter, times: RelayTimes
+    ) -> Iterator[bytes]:
         """Yield events; go on at another upstream where the route allows it."""
         while (attempt := journey.attempt) is not None:
             try:
@@ -216,6 +222,7 @@
                 attempt.finish()
                 if rest := splitter.take_rest():
                     yield rest
+                self._note_end(journey, times)
                 return
             except ExchangeFailed as failure:
                 attempt.fail(failure)
@@ -315,6 +322,20 @@
             },
         )
 
+    def _note_end(self, journey: Journey, times: RelayTimes) -> None:
+        now = self._clock.monotonic()
+        log.info(
+            "stream ended",
+            extra={
+                "id": journey.call.headers.attempt_id,
+                "upstream": str(journey.upstream),
+                "parts": times.parts,
+                "longest_gap_ms": round(times.gap_s * 1000),
+                "longest_hold_ms": round(times.hold_s * 1000),
+                "after_ms": round((now - journey.call.received_at) * 1000),
+            },
+        )
+
     def _break_stream(self, journey: Journey, why: str) -> StreamBroken:
         """Return the error that ends the caller's connection."""
         log.warning(
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from fescueflow.core import Clock
+
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
@@ -66,6 +68,32 @@
         self.end()
 
 
+@dataclass
+class RelayTimes:
+    """Longest pauses of a relayed stream, in seconds, and the number of its parts.
+
+    ``gap_s`` is a wait for the upstream, ``hold_s`` one for the caller to take a part.
+    """
+
+    parts: int = 0
+    gap_s: float = 0.0
+    hold_s: float = 0.0
+
+
+def watch_times(
+    parts: Iterator[bytes], times: RelayTimes, clock: Clock
+) -> Iterator[bytes]:
+    """Yield the parts and note how long each was waited for and held."""
+    asked_at = clock.monotonic()
+    for part in parts:
+        got_at = clock.monotonic()
+        times.parts += 1
+        times.gap_s = max(times.gap_s, got_at - asked_at)
+        yield part
+        asked_at = clock.monotonic()
+        times.hold_s = max(times.hold_s, asked_at - got_at)
+
+
 def chain(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
     """Yield the first part, if it is not empty, and the rest."""
     if first:
@@ -73,4 +101,11 @@
     yield from rest
 
 
-__all__ = ["EventSplitter", "StreamBody", "StreamBroken", "chain"]
+__all__ = [
+    "EventSplitter",
+    "RelayTimes",
+    "StreamBody",
+    "StreamBroken",
+    "chain",
+    "watch_times",
+]
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from fescueflow.gateway.streams import EventSplitter, StreamBody
+from fescueflow.gateway.streams import (
+    EventSplitter,
+    RelayTimes,
+    StreamBody,
+    watch_times,
+)
+from tests.fakes import FakeClock
 
 
 class EventSplitterTest(unittest.TestCase):
@@ -24,6 +30,24 @@
         self.assertEqual(splitter.last_id, "7")
 
 
+class WatchTimesTest(unittest.TestCase):
+    """Guards against a late stream whose log blames the wrong side."""
+
+    def test_waits_for_the_upstream_and_the_caller(self):
+        clock, times = FakeClock(), RelayTimes()
+
+        def iterate():
+            for wait_s in (0.1, 0.4):
+                clock.advance(wait_s)
+                yield b"part"
+
+        for _ in watch_times(iterate(), times, clock):
+            clock.advance(0.2)
+        self.assertEqual(times.parts, 2)
+        self.assertAlmostEqual(times.gap_s, 0.4)
+        self.assertAlmostEqual(times.hold_s, 0.2)
+
+
 class StreamBodyTest(unittest.TestCase):
     """Guards against upstreams that work on for callers that never read."""
 
