Let engines copy shared parts of prompts instead of reading them again

Cause: an upstream that is not the holder of a shared part read it again.

Change: the request names the upstream that used the part last (Kv-Fetch), leaving ones and those of withdrawn zones included. The cost of a placement counts the copy.

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -21,6 +21,7 @@
     ServiceId,
     Upstream,
     UpstreamHealth,
+    is_copy_worthwhile,
     judge,
     rank_placements,
 )
@@ -34,17 +35,21 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """A placement and the ticket that counts the request there."""
+    """A placement and the ticket that counts the request there.
+
+    ``source`` is where the chosen upstream copies the shared part of the prompt from.
+    """
 
     placement: Placement
     ticket: Ticket
+    source: Upstream | None = None
 
     @property
     def upstream(self) -> Upstream:
         """The chosen upstream."""
         return self.placement.candidate.upstream
 
-    def describe(self) -> dict[str, str | int | float | bool]:
+    def describe(self) -> dict[str, str | int | float | bool | None]:
         """Return what decided the choice, for the log."""
         load = self.placement.candidate.load
         return {
@@ -54,6 +59,7 @@
             "waiting_tokens": load.waiting_tokens,
             "failure_rate": round(load.failure_rate, 2),
             "cached": self.placement.is_cached,
+            "copied_from": str(self.source.id) if self.source else None,
         }
 
 
@@ -143,6 +149,7 @@
         """Drop what is known of upstreams that are gone."""
         with self._lock:
             self._health.forget(kept)
+            self._holders.forget(kept)
 
     def choose(
         self,
@@ -169,6 +176,11 @@
                 for u in usable
             ]
             cached = self._holders.find(service, prompt.key, listed, now)
+            answering = self._list_answering(service, tried)
+            sources = self._holders.rank_sources(
+                prompt.key, frozenset(answering), cached
+            )
+            copy_rate = self._get_copy_rate(service) if sources else 0.0
             placements = rank_placements(
                 candidates,
                 prompt,
@@ -176,6 +188,7 @@
                 self._boot.imbalance_factor,
                 self._boot.zone,
                 self._beliefs.count_upstreams(service),
+                copy_rate,
             )
             chosen = self._take_pace(placements, now)
             if chosen is None:
@@ -189,12 +202,34 @@
                     retry_after_ms=round(verdict.retry_after_s * 1000),
                 )
             upstream = chosen.candidate.upstream
+            source = None
+            if is_copy_worthwhile(prompt, copy_rate) and upstream.id not in sources:
+                source = answering[sources[0]]
             self._holders.note(service, prompt.key, upstream.id, listed, now)
-            unread = prompt.own_tokens + (
-                0 if chosen.is_cached else prompt.shared_tokens
-            )
-            ticket = self._loads.start(upstream.id, service, unread)
-            return Choice(chosen, ticket)
+            ticket = self._loads.start(upstream.id, service, chosen.unread_tokens)
+            return Choice(chosen, ticket, source)
+
+    def _list_answering(
+        self, service: ServiceId, tried: set[UpstreamId]
+    ) -> dict[UpstreamId, Upstream]:
+        """Return the upstreams that others can copy from, by id.
+
+        Notes
+        -----
+        Those that leave or lie in a withdrawn zone go on answering other upstreams.
+        """
+        return {
+            upstream.id: upstream
+            for upstream in self._beliefs.list_all()
+            if upstream.service == service
+            and upstream.id not in tried
+            and not self._health.has_failed(upstream.id)
+        }
+
+    def _get_copy_rate(self, service: ServiceId) -> float:
+        table = self._beliefs.get_table()
+        known = table.services.get(service) if table else None
+        return known.engine.copy_tokens_per_ms if known and known.engine else 0.0
 
     def _find_usable(
         self, listed: list[Upstream], tried: set[UpstreamId], now: float
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -160,6 +160,7 @@
             remaining_s=journey.until - now,
             priority=journey.priority,
             last_event=last_event,
+            copy_from=choice.source.address if choice.source else None,
         )
         attempt = self._client.connect(choice, journey.until, call.is_caller_gone)
         try:
--- a/src/fescueflow/platform/documents.py
+++ b/src/fescueflow/platform/documents.py
@@ -180,8 +180,7 @@
     engine = document.get("engine")
     traits = None
     if isinstance(engine, dict):
-        slots = get_field(engine, "slots", int)
-        traits = EngineTraits(slots, get_field(engine, "kv_capacity", int))
+        traits = parse_engine(engine)
     return Service(
         id=ServiceId(get_field(document, "name", str)),
         connections_max=get_field(document, "max_connections", int),
@@ -191,6 +190,19 @@
     )
 
 
+def parse_engine(document: dict[str, Any]) -> EngineTraits:
+    """Return what the engines of a service have in common."""
+    # Bytes of cache for one token, and the rate of the links between engines.
+    token_bytes = document.get("kv_token_bytes") or 0
+    link_mbps = document.get("link_mbps") or 0
+    bytes_per_ms = link_mbps * 1e6 / 8 / 1000
+    return EngineTraits(
+        slots=get_field(document, "slots", int),
+        cache_tokens=get_field(document, "kv_capacity", int),
+        copy_tokens_per_ms=bytes_per_ms / token_bytes if token_bytes else 0.0,
+    )
+
+
 def parse_limits(document: dict[str, Any]) -> CallerLimits:
     """Return the bounds on callers."""
     return CallerLimits(
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -26,6 +26,8 @@
 TOKEN_COUNTS = "X-Token-Count"  # noqa: S105
 LAST_EVENT = "Last-Event-Id"
 PRIORITY = "X-Request-Priority"
+# Address of an upstream from which another one copies what it holds of the prompt.
+COPY_FROM = "Kv-Fetch"
 
 MISDIRECTED_STATUS = 421
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -116,6 +118,7 @@
     remaining_s: float,
     priority: int,
     last_event: str | None = None,
+    copy_from: str | None = None,
 ) -> Headers:
     """Return the headers of a request to an upstream.
 
@@ -129,6 +132,8 @@
     priority : int
     last_event : str, optional
         A stream goes on after this event.
+    copy_from : str, optional
+        Address of an upstream that holds the prompt's shared part.
     """
     headers = [
         (name, value)
@@ -142,6 +147,8 @@
         headers.append((CUSTOMER, str(customer)))
     if last_event is not None:
         headers.append((LAST_EVENT, last_event))
+    if copy_from is not None:
+        headers.append((COPY_FROM, copy_from))
     return headers
 
 
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -30,6 +30,7 @@
     estimate_cost_ms,
     find_balanced,
     find_holder,
+    is_copy_worthwhile,
     parse_prompt,
     rank_placements,
 )
@@ -71,6 +72,7 @@
     "find_customer",
     "find_holder",
     "find_route",
+    "is_copy_worthwhile",
     "judge",
     "may_repeat",
     "parse_prompt",
--- a/src/fescueflow/routing/health.py
+++ b/src/fescueflow/routing/health.py
@@ -62,6 +62,11 @@
         record = self._records.get(upstream)
         return record is not None and now < record.paused_until
 
+    def has_failed(self, upstream: UpstreamId) -> bool:
+        """Return whether the last attempt at an upstream failed."""
+        record = self._records.get(upstream)
+        return record is not None and record.in_row > 0
+
     def get_rate(self, upstream: UpstreamId) -> float:
         """Return the recent part of failed attempts, 0 to 1."""
         record = self._records.get(upstream)
--- a/src/fescueflow/routing/holders.py
+++ b/src/fescueflow/routing/holders.py
@@ -82,6 +82,27 @@
         winner = find_holder(key, upstreams)
         return frozenset({winner} if winner is not None else ())
 
+    def rank_sources(
+        self,
+        key: str,
+        usable: frozenset[UpstreamId],
+        expected: frozenset[UpstreamId],
+    ) -> list[UpstreamId]:
+        """Return the upstreams that a part can be copied from, the last user first.
+
+        Parameters
+        ----------
+        key : str
+        usable : frozenset of UpstreamId
+            Upstreams that answer, those included that take no new work.
+        expected : frozenset of UpstreamId
+            Where ``find`` expects the part; used if no use of it is known.
+        """
+        part = self._parts.get(key)
+        used_at = part.used_at if part else dict.fromkeys(expected, 0.0)
+        sources = usable & used_at.keys()
+        return sorted(sources, key=lambda name: (-used_at[name], name))
+
     def note(
         self,
         service: ServiceId,
@@ -116,6 +137,12 @@
             if part is not None and name in part.used_at
         ]
 
+    def forget(self, kept: set[UpstreamId]) -> None:
+        """Forget what other upstreams held."""
+        for part in self._parts.values():
+            if part.used_at.keys() - kept:
+                part.used_at = {n: at for n, at in part.used_at.items() if n in kept}
+
     def _touch(self, service: ServiceId, key: str) -> Part:
         part = self._parts.get(key)
         if part is None or part.service != service:
@@ -136,14 +163,17 @@
             self._review(service)
 
     def _review(self, service: ServiceId) -> None:
-        """Make news of parts that hashing puts elsewhere; forget gone upstreams."""
+        """Make news of parts that hashing puts elsewhere.
+
+        Notes
+        -----
+        Upstreams that take no new work count as holders, since others copy from them.
+        """
         upstreams = self._known[service]
-        names = {upstream.id for upstream in upstreams}
         waiting = {key for key, _, _ in self._news}
         for key, part in self._parts.items():
             if part.service != service:
                 continue
-            part.used_at = {n: at for n, at in part.used_at.items() if n in names}
             if not part.used_at or key in waiting:
                 continue
             if find_holder(key, upstreams) not in part.used_at:
--- a/src/fescueflow/routing/model.py
+++ b/src/fescueflow/routing/model.py
@@ -58,10 +58,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineTraits:
-    """What a service of language model engines has in common."""
+    """What a service of language model engines has in common.
+
+    An engine takes over what another one caches at ``copy_tokens_per_ms``; zero if
+    it can't.
+    """
 
     slots: int
     cache_tokens: int
+    copy_tokens_per_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -24,6 +24,12 @@
 # Time that a failed attempt costs a caller, in milliseconds: the latency objective
 # of the most urgent kind on the sheets.
 FAILURE_COST_MS = 600.0
+# Shared parts from this size on are copied from an upstream that holds them, in tokens.
+# Smaller ones are read in less than 10 ms.
+COPY_TOKENS_MIN = 1000
+# Time until a copy begins, in milliseconds: a connection between two engines and a
+# question in another zone.
+COPY_SETUP_MS = 10.0
 # Of the rules' factor for imbalance, the part that is used, and the requests above
 # that which never count as imbalance, of which the rules allow three: loads of other
 # instances are up to a report old. With the rules' own figures, 24 of 253 requests
@@ -65,11 +71,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """A candidate with the expected time to the first event, in milliseconds."""
+    """A candidate with the expected time to the first event, in milliseconds.
+
+    ``unread_tokens`` is what the upstream has to read of the prompt; ``is_copied``
+    says that it takes over the shared part from another upstream.
+    """
 
     candidate: Candidate
     cost_ms: float
     is_cached: bool
+    unread_tokens: int = 0
+    is_copied: bool = False
 
 
 def parse_prompt(parts: str, token_counts: str) -> Prompt:
@@ -110,10 +122,36 @@
     return UpstreamId(chosen) if chosen is not None else None
 
 
-def estimate_cost_ms(load: UpstreamLoad, prompt: Prompt, is_cached: bool) -> float:
+def is_copy_worthwhile(prompt: Prompt, copy_tokens_per_ms: float) -> bool:
+    """Return whether the shared part is copied rather than read again.
+
+    Parameters
+    ----------
+    prompt : Prompt
+    copy_tokens_per_ms : float
+        Rate of copies between upstreams; zero if there are none.
+    """
+    return copy_tokens_per_ms > 0 and prompt.shared_tokens >= COPY_TOKENS_MIN
+
+
+def place(
+    candidate: Candidate, prompt: Prompt, is_cached: bool, copy_tokens_per_ms: float
+) -> Placement:
+    """Return a placement with the expected time to the first event."""
+    is_copied = not is_cached and is_copy_worthwhile(prompt, copy_tokens_per_ms)
+    unread = prompt.own_tokens
+    copy_ms = 0.0
+    if is_copied:
+        copy_ms = COPY_SETUP_MS + prompt.shared_tokens / copy_tokens_per_ms
+    elif not is_cached:
+        unread += prompt.shared_tokens
+    cost_ms = estimate_cost_ms(candidate.load, unread) + copy_ms
+    return Placement(candidate, cost_ms, is_cached, unread, is_copied)
+
+
+def estimate_cost_ms(load: UpstreamLoad, unread_tokens: int) -> float:
     """Return the expected time to the first event plus the cost for others."""
-    unread = prompt.own_tokens + (0 if is_cached else prompt.shared_tokens)
-    reading_ms = (load.waiting_tokens + unread) / PROMPT_TOKENS_PER_MS
+    reading_ms = (load.waiting_tokens + unread_tokens) / PROMPT_TOKENS_PER_MS
     risk_ms = load.failure_rate * FAILURE_COST_MS
     return reading_ms + load.running * RUNNING_COST_MS + risk_ms
 
@@ -151,6 +189,7 @@
     imbalance_factor: float,
     near: ZoneId | None = None,
     service_size: int | None = None,
+    copy_tokens_per_ms: float = 0.0,
 ) -> list[Placement]:
     """Return the candidates by rising cost, balanced ones first.
 
@@ -166,23 +205,23 @@
         Zone of this instance.
     service_size : int, optional
         As for ``find_balanced``.
+    copy_tokens_per_ms : float, optional
+        Rate at which an upstream copies the shared part from a holder; zero if no
+        holder answers.
     """
     within = find_balanced(candidates, imbalance_factor, service_size)
     balanced = {candidate.upstream.id for candidate in within}
     placements = [
-        Placement(c, estimate_cost_ms(c.load, prompt, held) + way_ms, held)
+        place(c, prompt, c.upstream.id in cached_at, copy_tokens_per_ms)
         for c in candidates
-        for held in [c.upstream.id in cached_at]
-        for way_ms in [0.0 if near in {None, c.upstream.zone} else ZONE_COST_MS]
     ]
-    return sorted(
-        placements,
-        key=lambda p: (
-            p.candidate.upstream.id not in balanced,
-            p.cost_ms,
-            p.candidate.upstream.id,
-        ),
-    )
+
+    def order(placement: Placement) -> tuple[bool, float, UpstreamId]:
+        upstream = placement.candidate.upstream
+        way_ms = 0.0 if near in {None, upstream.zone} else ZONE_COST_MS
+        return upstream.id not in balanced, placement.cost_ms + way_ms, upstream.id
+
+    return sorted(placements, key=order)
 
 
 __all__ = [
@@ -194,6 +233,7 @@
     "estimate_cost_ms",
     "find_balanced",
     "find_holder",
+    "is_copy_worthwhile",
     "parse_prompt",
     "rank_placements",
 ]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -99,6 +99,21 @@
         self.assertEqual(table.customers["k2"].id, "c1")
         self.assertEqual(table.services["s1"].engine.slots, 128)
 
+    def test_copy_rate_of_engines(self):
+        # 35,136 bytes for a token at 550 Gbit/s are 1,957 tokens in a millisecond.
+        service = TABLE["services"][0]
+        engine = {
+            **service["engine"],
+            "kv_token_bytes": 35136,
+            "link_mbps": 550000.0,
+        }
+        table = parse_table(encode(TABLE, services=[{**service, "engine": engine}]))
+        rate = table.services["s1"].engine.copy_tokens_per_ms
+        self.assertAlmostEqual(rate, 1956.7, places=1)
+        self.assertEqual(
+            parse_table(encode(TABLE)).services["s1"].engine.copy_tokens_per_ms, 0.0
+        )
+
     def test_malformed(self):
         route = TABLE["routes"][0]
         broken = [
@@ -110,6 +125,20 @@
             encode(TABLE, limits=None),
             encode(TABLE, tenants=[{"name": "c1"}]),
             encode(TABLE, tenants=7),
+            encode(
+                TABLE,
+                services=[
+                    {
+                        **TABLE["services"][0],
+                        "engine": {
+                            "slots": 8,
+                            "kv_capacity": 9,
+                            "kv_token_bytes": "x",
+                            "link_mbps": 1,
+                        },
+                    }
+                ],
+            ),
             encode(TABLE, routes=[{**route, "max_attempts": "2"}]),
         ]
         for value in broken:
--- a/tests/routing/test_holders.py
+++ b/tests/routing/test_holders.py
@@ -75,6 +75,25 @@
         there = {key: min(other.find(ENGINES, key, grown, 50.0)) for key in KEYS}
         self.assertEqual(here, there)
 
+    def test_copies_come_from_the_last_user_and_from_leaving_upstreams(self):
+        upstreams = make_upstreams(1, 2, 3)
+        self.table.note(ENGINES, "k", "u1", upstreams, 1.0)
+        self.table.note(ENGINES, "k", "u2", upstreams, 2.0)
+        # u2 leaves: no new work goes there, but it still holds the part.
+        expected = self.table.find(ENGINES, "k", make_upstreams(1, 3), 3.0)
+        self.assertEqual(expected, {"u1"})
+        usable = frozenset({"u1", "u2", "u3"})
+        ranked = self.table.rank_sources("k", usable, expected)
+        self.assertEqual(ranked, ["u2", "u1"])
+        self.table.forget({"u1", "u3"})
+        ranked = self.table.rank_sources("k", usable, expected)
+        self.assertEqual(ranked, ["u1"])
+
+    def test_unknown_part_is_copied_from_where_it_is_expected(self):
+        usable = frozenset({"u1", "u2"})
+        ranked = self.table.rank_sources("k", usable, frozenset({"u2", "u9"}))
+        self.assertEqual(ranked, ["u2"])
+
     def test_instance_that_starts_is_told_all(self):
         for key in KEYS:
             self.use(key, make_upstreams(1, 2, 3))
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -13,9 +13,11 @@
     UpstreamLoad,
     find_balanced,
     find_holder,
+    is_copy_worthwhile,
     parse_prompt,
     rank_placements,
 )
+from fescueflow.routing.placement import COPY_TOKENS_MIN
 from tests.routing.builders import make_candidate, make_prompt, make_upstream
 
 FACTOR = 2.0
@@ -75,6 +77,26 @@
         idle = make_candidate("u2", running=2)
         self.assertEqual(self.rank(queued, idle)[0], "u2")
 
+    def test_copy_is_cheaper_than_reading_again(self):
+        # Reading 10,000 tokens takes 91 ms, the queue of the holder 45 ms.
+        queued = make_candidate("u1", waiting_tokens=5_000)
+        idle = make_candidate("u2")
+        prompt, held = make_prompt(), frozenset({UpstreamId("u1")})
+        for rate, first, unread in ((0.0, "u1", 1_000), (2_000.0, "u2", 1_000)):
+            placed = rank_placements(
+                [queued, idle], prompt, held, FACTOR, copy_tokens_per_ms=rate
+            )[0]
+            self.assertEqual(placed.candidate.upstream.id, first)
+            self.assertEqual(placed.unread_tokens, unread)
+            self.assertEqual(placed.is_copied, first == "u2")
+
+    def test_short_part_is_read_again(self):
+        for shared in (COPY_TOKENS_MIN - 1, COPY_TOKENS_MIN):
+            prompt = make_prompt(shared=shared)
+            self.assertEqual(
+                is_copy_worthwhile(prompt, 2_000.0), shared == COPY_TOKENS_MIN
+            )
+
     def test_short_prompts_avoid_failing_upstreams(self):
         failing = make_candidate("u1", failure_rate=0.5)
         sound = make_candidate("u2", running=3)
@@ -132,6 +154,44 @@
     return read, longest
 
 
+def replay_surge(copies, seed, requests=400, upstreams=6, keys=60):
+    """Return the prompt tokens read and the mean wait in a replayed surge.
+
+    The load: long briefs of sixty subjects, one every 5 ms for 2 s, on six engines
+    that read 110 tokens in a millisecond; for a third of the time half of them are
+    about one subject, so that its holder is passed over.
+    """
+    random_source = random.Random(seed)
+    held = [set() for _ in range(upstreams)]
+    queues = [0.0] * upstreams
+    read = waited_ms = 0.0
+    for number in range(requests):
+        queues = [max(0.0, tokens - 5 * 110) for tokens in queues]
+        is_hot = requests / 3 < number < 2 * requests / 3
+        if is_hot and random_source.random() < 0.5:
+            key = "hot"
+        else:
+            key = f"k{random_source.randrange(keys)}"
+        holders = {n for n in range(upstreams) if key in held[n]}
+        candidates = [
+            Candidate(make_upstream(f"u{n}"), UpstreamLoad(0, int(tokens)))
+            for n, tokens in enumerate(queues)
+        ]
+        placed = rank_placements(
+            candidates,
+            make_prompt(10_500, 1_300, key),
+            frozenset(f"u{n}" for n in holders),
+            FACTOR,
+            copy_tokens_per_ms=2_000.0 if copies and holders else 0.0,
+        )[0]
+        chosen = int(placed.candidate.upstream.id[1:])
+        waited_ms += queues[chosen] / 110
+        queues[chosen] += placed.unread_tokens
+        read += placed.unread_tokens
+        held[chosen].add(key)
+    return read, waited_ms / requests
+
+
 def rank_by_cost(key, queues, _):
     """Return the index of the upstream that the product chooses."""
     candidates = [
@@ -166,6 +226,13 @@
             theirs, _ = replay_load(rank_by_load, seed)
             self.assertLess(ours, 0.6 * theirs)
 
+    def test_reading_again_costs_more_than_copies(self):
+        for seed in (1, 2, 3):
+            copied, waited_ms = replay_surge(True, seed)
+            read_again, waited_longer_ms = replay_surge(False, seed)
+            self.assertLess(copied, read_again)
+            self.assertLess(waited_ms, waited_longer_ms)
+
     def test_affinity_alone_queues_longer(self):
         for seed in (1, 2, 3):
             _, ours = replay_load(rank_by_cost, seed)
