Count 0.15 ms for a running request

Cause: with 0.5 ms, 13 more running requests moved a short prompt from its holder, though an engine's step grows by 0.05 to 0.08 ms for each.

--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -15,8 +15,9 @@
 # deployments give 112 and 125.
 PROMPT_TOKENS_PER_MS = 110.0
 # Delay of the first event by one more running request, in milliseconds: an engine's
-# step grows by 0.05 to 0.08 ms for each, over the few steps that a prompt takes.
-RUNNING_COST_MS = 0.5
+# step grows by 0.05 to 0.08 ms for each, and a prompt without its shared part takes
+# two or three steps.
+RUNNING_COST_MS = 0.15
 # Cost of an upstream in another zone, in milliseconds: it decides between upstreams
 # that are as good as each other. The whole round trip of 6 to 11 ms moved short prompts
 # away from their holders, and reading them there again cost more.
