--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -13,6 +13,7 @@
 from fescueflow.gateway.peers import PeerTable, choose_addresses
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
+    ATTEMPT_ID_VARIABLE,
     METRICS_PATH,
     READY_PATH,
     RESOLVE_PATH,
@@ -96,7 +97,7 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         began = self._clock.monotonic()
-        attempt_id = environ.get("HTTP_X_ATTEMPT_ID", "")
+        attempt_id = environ.get(ATTEMPT_ID_VARIABLE, "")
         try:
             answer = self._forwarder.forward(read_call(environ, began))
         except RequestError as error:
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -38,6 +38,7 @@
 )
 from fescueflow.platform.wire import (
     ATTEMPT_ID,
+    ATTEMPT_ID_VARIABLE,
     METRICS_PATH,
     MISDIRECTED_STATUS,
     NOT_RUN,
@@ -56,6 +57,7 @@
 __all__ = [
     "ANSWER_BYTES_MAX",
     "ATTEMPT_ID",
+    "ATTEMPT_ID_VARIABLE",
     "METRICS_PATH",
     "MISDIRECTED_STATUS",
     "NOT_RUN",
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -14,6 +14,8 @@
 METRICS_PATH = "/metrics"
 
 ATTEMPT_ID = "X-Attempt-Id"
+# The same header in the environment of a WSGI application (PEP 3333).
+ATTEMPT_ID_VARIABLE = "HTTP_X_ATTEMPT_ID"
 DEADLINE_MS = "X-Deadline-Ms"
 CUSTOMER = "X-Tenant"
 EXPECTED_UPSTREAM = "X-Expect-Instance"
@@ -164,6 +166,7 @@
 
 __all__ = [
     "ATTEMPT_ID",
+    "ATTEMPT_ID_VARIABLE",
     "METRICS_PATH",
     "MISDIRECTED_STATUS",
     "NOT_RUN",
