--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -26,7 +26,7 @@
 # of the most urgent kind on the sheets.
 FAILURE_COST_MS = 600.0
 # Shared parts from this size on are copied from an upstream that holds them, in tokens.
-# Smaller ones are read while a copy begins, which takes 2.0 and 2.7 ms on the two sites.
+# Smaller ones are read while a copy begins: 2.0 and 2.7 ms on the two sites.
 COPY_TOKENS_MIN = 250
 # Time until a copy begins, in milliseconds: a connection between two engines and a
 # question in another zone.
