Copy a shared part only for a wait that callers notice

Change: a copy costs at least 30 ms, a twentieth of the shortest objective, and a quarter of the reading time for the memory it takes.

--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -28,9 +28,12 @@
 # Shared parts from this size on are copied from an upstream that holds them, in tokens.
 # Smaller ones are read while a copy begins: 2.0 and 2.7 ms on the two sites.
 COPY_TOKENS_MIN = 250
-# Time until a copy begins, in milliseconds: a connection between two engines and a
-# question in another zone.
-COPY_SETUP_MS = 10.0
+# Least cost of a copy, in milliseconds: a twentieth of the shortest latency objective
+# of prompts (600 ms). A shorter wait at the holder is no reason to copy.
+COPY_COST_MS = 30.0
+# Part of the time for reading the shared part that a copy costs besides, since it
+# takes the memory of other parts.
+COPY_MEMORY_PART = 0.25
 # Of the rules' factor for imbalance, the part that is used, and the requests above
 # that which never count as imbalance, of which the rules allow three: loads of other
 # instances are up to a report old. With the rules' own figures, 24 of 253 requests
@@ -143,7 +146,9 @@
     unread = prompt.own_tokens
     copy_ms = 0.0
     if is_copied:
-        copy_ms = COPY_SETUP_MS + prompt.shared_tokens / copy_tokens_per_ms
+        reading_ms = prompt.shared_tokens / PROMPT_TOKENS_PER_MS
+        copy_ms = COPY_COST_MS + prompt.shared_tokens / copy_tokens_per_ms
+        copy_ms += COPY_MEMORY_PART * reading_ms
     elif not is_cached:
         unread += prompt.shared_tokens
     cost_ms = estimate_cost_ms(candidate.load, unread) + copy_ms
