--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -171,8 +171,9 @@
             if not usable:
                 raise Overloaded("no upstream takes work", retry_after_ms=RETURN_MS)
             totals = self._loads.sum_loads(now)
+            own = self._loads.list_own()
             candidates = [
-                Candidate(u, make_load(totals, u.id, self._health.get_rate(u.id)))
+                Candidate(u, make_load(totals, own, u.id, self._health.get_rate(u.id)))
                 for u in usable
             ]
             cached = self._holders.find(service, prompt.key, listed, now)
--- a/src/fescueflow/gateway/loads.py
+++ b/src/fescueflow/gateway/loads.py
@@ -120,12 +120,14 @@
 
 def make_load(
     totals: Mapping[UpstreamId, tuple[int, int]],
+    own: Mapping[UpstreamId, tuple[int, int]],
     upstream: UpstreamId,
     failure_rate: float,
 ) -> UpstreamLoad:
-    """Return the load of one upstream."""
+    """Return the load of one upstream from all loads and the own ones."""
     running, tokens = totals.get(upstream, (0, 0))
-    return UpstreamLoad(max(0, running), max(0, tokens), failure_rate)
+    own_running, _ = own.get(upstream, (0, 0))
+    return UpstreamLoad(max(0, running), max(0, tokens), failure_rate, own_running)
 
 
 __all__ = ["LoadBook", "Ticket", "make_load"]
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -57,12 +57,14 @@
     """Work of the whole fleet at one upstream.
 
     ``waiting_tokens`` counts prompt tokens of requests without a first event,
-    ``failure_rate`` is the recent part of failed attempts, 0 to 1.
+    ``failure_rate`` is the recent part of failed attempts, 0 to 1, and
+    ``own_running`` the part of ``running`` that this instance has sent.
     """
 
     running: int = 0
     waiting_tokens: int = 0
     failure_rate: float = 0.0
+    own_running: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,10 +183,18 @@
     -----
     Consistent hashing with bounded loads: Mirrokni, Thorup and Zadimoghaddam,
     SODA 2018.
+
+    With many upstreams idle in withdrawn zones, even shares of the others exceed the
+    bound. Then each instance spreads its own requests evenly: if all of them sent to
+    the upstream with the smallest load, which they know from reports, they would
+    overload it until the next report.
     """
     total = sum(candidate.load.running for candidate in candidates)
     mean = total / max(1, len(candidates), service_size or 0)
     bound = IMBALANCE_PART * imbalance_factor * mean + IMBALANCE_SLACK
+    if total > bound * len(candidates):
+        least = min(candidate.load.own_running for candidate in candidates)
+        return [c for c in candidates if c.load.own_running == least]
     return [c for c in candidates if c.load.running + 1 <= bound]
 
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -134,6 +134,17 @@
         self.assertEqual(names, {"u1", "u2", "u3"})
         self.assertEqual(len(find_balanced(candidates, FACTOR)), 4)
 
+    def test_half_of_the_service_in_withdrawn_zones(self):
+        # Three of six upstreams are idle in a withdrawn zone, so that the others hold
+        # twice the mean of 9 and the bound of the rules is 21: the fullest is over it.
+        loads = [(16, 2), (16, 2), (22, 4)]
+        candidates = [
+            Candidate(make_upstream(f"u{n}"), UpstreamLoad(running, own_running=own))
+            for n, (running, own) in enumerate(loads)
+        ]
+        names = {c.upstream.id for c in find_balanced(candidates, FACTOR, 6)}
+        self.assertEqual(names, {"u0", "u1"})
+
     def test_unbalanced_holder_goes_last(self):
         holder = make_candidate("u1", running=20)
         others = [make_candidate(f"u{n}", running=2) for n in range(2, 7)]
@@ -230,6 +241,53 @@
     return int(find_holder(key, upstreams)[1:])
 
 
+def replay_withdrawn_zone(find, seed, instances=8, upstreams=2, service_size=4):
+    """Return the part of requests that reach an upstream over the rules' bound.
+
+    The load: 45 requests a second, each for 1 to 2.5 s, from eight instances that
+    know each other's loads from reports every 0.35 s; two of four upstreams are in a
+    withdrawn zone.
+    """
+    random_source = random.Random(seed)
+    running = []
+    reported = [[0] * upstreams for _ in range(instances)]
+    over = 0
+    requests = 900
+    for number in range(requests):
+        now = number / 45
+        running = [entry for entry in running if entry[0] > now]
+        own = [
+            [sum(i == a and u == b for _, i, u in running) for b in range(upstreams)]
+            for a in range(instances)
+        ]
+        instance = random_source.randrange(instances)
+        if number % 16 == 0:
+            reported = own
+        known = [
+            sum((own if a == instance else reported)[a][b] for a in range(instances))
+            for b in range(upstreams)
+        ]
+        candidates = [
+            Candidate(
+                make_upstream(f"u{n}"),
+                UpstreamLoad(known[n], own_running=own[instance][n]),
+            )
+            for n in range(upstreams)
+        ]
+        allowed = find(candidates, FACTOR, service_size) or candidates
+        chosen = int(random_source.choice(allowed).upstream.id[1:])
+        load = sum(u == chosen for _, _, u in running)
+        over += number > 90 and load > FACTOR * len(running) / service_size + 3
+        running.append((now + random_source.uniform(1, 2.5), instance, chosen))
+    return over / requests
+
+
+def find_least_loaded(candidates, *_):
+    """Return the candidates with the smallest known load."""
+    least = min(candidate.load.running for candidate in candidates)
+    return [c for c in candidates if c.load.running == least]
+
+
 class ReplayTest(unittest.TestCase):
     """Long prompts of returning subjects: what simpler rules do worse."""
 
@@ -239,6 +297,12 @@
             theirs, _ = replay_load(rank_by_load, seed)
             self.assertLess(ours, 0.6 * theirs)
 
+    def test_least_loaded_overloads_while_a_zone_is_withdrawn(self):
+        for seed in (1, 2, 3):
+            # The rules allow 3 in 100.
+            self.assertLess(replay_withdrawn_zone(find_balanced, seed), 0.03)
+            self.assertGreater(replay_withdrawn_zone(find_least_loaded, seed), 0.03)
+
     def test_reading_again_costs_more_than_copies(self):
         for seed in (1, 2, 3):
             copied, waited_ms = replay_surge(True, seed)
