Reach every instance of a large fleet with reports, by turns

Cause: at 73 instances each report went to twelve drawn anew. Loads were dropped before the next report came, and news of holders reached at most a third of the instances.

Change: receivers by turns; news is sent for two rounds, loads last for two rounds.

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -7,7 +7,8 @@
 from fescueflow.core import Clock, Overloaded, UpstreamId
 from fescueflow.gateway.beliefs import Beliefs
 from fescueflow.gateway.loads import LoadBook, Ticket, make_load
-from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.peers import REPORT_S, PeerTable
+from fescueflow.gateway.turns import count_turns
 from fescueflow.platform import BootSettings
 from fescueflow.routing import (
     Candidate,
@@ -143,7 +144,8 @@
     def take_news(self) -> list[HolderNews]:
         """Return what other instances are to be told of parts of prompts."""
         with self._lock:
-            return self._holders.take_news(self._clock.monotonic())
+            now = self._clock.monotonic()
+            return self._holders.take_news(now, self._count_turns(now))
 
     def forget(self, kept: set[UpstreamId]) -> None:
         """Drop what is known of upstreams that are gone."""
@@ -170,7 +172,8 @@
             usable = self._find_usable(listed, tried, now)
             if not usable:
                 raise Overloaded("no upstream takes work", retry_after_ms=RETURN_MS)
-            totals = self._loads.sum_loads(now)
+            interval_s = REPORT_S * self._count_turns(now)
+            totals = self._loads.sum_loads(now, interval_s)
             own = self._loads.list_own()
             candidates = [
                 Candidate(u, make_load(totals, own, u.id, self._health.get_rate(u.id)))
@@ -210,6 +213,10 @@
             ticket = self._loads.start(upstream.id, service, chosen.unread_tokens)
             return Choice(chosen, ticket, source)
 
+    def _count_turns(self, now: float) -> int:
+        """Return the number of reports until each other instance has got one."""
+        return count_turns(self._peers.count(now) - 1)
+
     def _list_answering(
         self, service: ServiceId, tried: set[UpstreamId]
     ) -> dict[UpstreamId, Upstream]:
--- a/src/fescueflow/gateway/loads.py
+++ b/src/fescueflow/gateway/loads.py
@@ -7,7 +7,8 @@
 from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.routing import ServiceId, UpstreamLoad
 
-# Loads of an instance that has not been heard for this long are dropped, in seconds.
+# Loads of an instance that has not been heard for this long are dropped, in seconds;
+# longer in fleets whose instances report to each other by turns.
 LOAD_AGE_MAX_S = 1.5
 # Weight of the latest request in the mean time that a place is held.
 HOLD_WEIGHT = 0.05
@@ -104,12 +105,23 @@
         with self._lock:
             return {n: (o.running, o.waiting_tokens) for n, o in self._own.items()}
 
-    def sum_loads(self, now: float) -> dict[UpstreamId, tuple[int, int]]:
-        """Return running requests and waiting tokens of the whole fleet."""
+    def sum_loads(
+        self, now: float, interval_s: float = 0.0
+    ) -> dict[UpstreamId, tuple[int, int]]:
+        """Return running requests and waiting tokens of the whole fleet.
+
+        Parameters
+        ----------
+        now : float
+        interval_s : float, optional
+            Time from one report of an instance to the next. Two of them may pass
+            before its loads are dropped.
+        """
+        age_max_s = max(LOAD_AGE_MAX_S, 2 * interval_s)
         totals = self.list_own()
         with self._lock:
             for peer in list(self._peers):
-                if now - self._peers[peer].received_at > LOAD_AGE_MAX_S:
+                if now - self._peers[peer].received_at > age_max_s:
                     del self._peers[peer]
             for entry in self._peers.values():
                 for name, (running, tokens) in entry.loads.items():
--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -10,6 +10,7 @@
 import logbook
 
 from fescueflow.core import Clock, InstanceId, Randomness, UpstreamId, ZoneId
+from fescueflow.gateway.turns import ReceiverTurns
 from fescueflow.routing import HolderNews, ServiceId
 
 # Interval of the reports, in seconds: a quarter of the age at which loads are dropped.
@@ -17,8 +18,6 @@
 # Reports from one that lists all known instances to the next; the others hold only
 # the sender, since bytes between zones are dear and members change seldom.
 FULL_REPORT_EVERY = 4
-# Instances that get each report; in larger fleets each report goes to others.
-RECEIVERS_MAX = 12
 # An instance that nobody has heard for this long is not named to callers, in
 # seconds: four reports, so that a lost datagram does not remove it.
 SILENCE_MAX_S = 1.5
@@ -242,7 +241,7 @@
         self._make_report = make_report
         self._on_report = on_report
         self._clock = clock
-        self._randomness = randomness
+        self._turns = ReceiverTurns(randomness)
         self._stopped = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
@@ -268,10 +267,7 @@
 
     def _choose_receivers(self) -> list[str]:
         known = {peer.host for peer in self._table.list_all() if not self._is_old(peer)}
-        hosts = sorted((known | set(self._seeds)) - {self._host})
-        if len(hosts) <= RECEIVERS_MAX:
-            return hosts
-        return self._randomness.sample(hosts, RECEIVERS_MAX)
+        return self._turns.take(sorted((known | set(self._seeds)) - {self._host}))
 
     def _is_old(self, peer: PeerRecord) -> bool:
         return self._clock.monotonic() - peer.heard_at > COUNT_S * 6
@@ -300,6 +296,7 @@
 __all__ = [
     "COUNT_S",
     "FULL_REPORT_EVERY",
+    "REPORT_S",
     "PeerLink",
     "PeerRecord",
     "PeerReport",
--- a/src/fescueflow/routing/holders.py
+++ b/src/fescueflow/routing/holders.py
@@ -19,7 +19,7 @@
 # A part that nobody has used for this long is taken to be evicted, in seconds; most
 # chats return sooner, and engines evict the least recently used parts first.
 PART_AGE_MAX_S = 120.0
-# Times that each piece of news is sent; a datagram may be lost.
+# Times that each instance is sent a piece of news; a datagram may be lost.
 NEWS_REPEATS = 2
 # Pieces of news in one report, of about 40 bytes each.
 NEWS_MAX = 100
@@ -50,6 +50,7 @@
         self._parts_max = parts_max
         self._parts: OrderedDict[str, Part] = OrderedDict()
         self._known: dict[ServiceId, tuple[Upstream, ...]] = {}
+        # Part, upstream and how often it was sent.
         self._news: deque[tuple[str, UpstreamId, int]] = deque()
 
     def find(
@@ -117,7 +118,7 @@
         is_new = upstream not in self._touch(service, key).used_at
         self._touch(service, key).used_at[upstream] = now
         if is_new and find_holder(key, upstreams) != upstream:
-            self._news.append((key, upstream, NEWS_REPEATS))
+            self._news.append((key, upstream, 0))
 
     def merge(self, news: Iterable[HolderNews], now: float) -> None:
         """Take over what another instance has noted."""
@@ -126,10 +127,18 @@
             known = self._touch(item.service, item.key).used_at
             known[item.upstream] = max(known.get(item.upstream, used_at), used_at)
 
-    def take_news(self, now: float) -> list[HolderNews]:
-        """Return what other instances are to be told now."""
+    def take_news(self, now: float, turns: int = 1) -> list[HolderNews]:
+        """Return what other instances are to be told now.
+
+        Parameters
+        ----------
+        now : float
+        turns : int, optional
+            Reports until each instance has got one.
+        """
         taken = [self._news.popleft() for _ in range(min(NEWS_MAX, len(self._news)))]
-        self._news.extend((k, u, left - 1) for k, u, left in taken if left > 1)
+        sends = NEWS_REPEATS * turns
+        self._news.extend((k, u, n + 1) for k, u, n in taken if n + 1 < sends)
         return [
             HolderNews(part.service, key, name, now - part.used_at[name])
             for key, name, _ in taken
@@ -178,7 +187,7 @@
                 continue
             if find_holder(key, upstreams) not in part.used_at:
                 latest = max(part.used_at, key=lambda name: part.used_at[name])
-                self._news.append((key, latest, NEWS_REPEATS))
+                self._news.append((key, latest, 0))
 
 
 __all__ = ["HolderNews", "HolderTable"]
--- /dev/null
+++ b/tests/gateway/test_turns.py
@@ -0,0 +1,65 @@
+"""Reports in fleets that are too large to tell all instances at once."""
+
+import unittest
+
+from fescueflow.core import SeededRandomness, UpstreamId
+from fescueflow.gateway.loads import LOAD_AGE_MAX_S, LoadBook
+from fescueflow.gateway.turns import RECEIVERS_MAX, ReceiverTurns, count_turns
+from fescueflow.routing import HolderTable
+from fescueflow.routing.holders import NEWS_REPEATS
+from tests.routing.builders import ENGINES, make_upstream
+
+# As many other instances as the larger of the two grown sites has.
+HOSTS = [f"host{n}" for n in range(87)]
+
+
+class ReceiverTurnsTest(unittest.TestCase):
+    """Guards against instances of a large fleet that some reports never reach."""
+
+    def test_each_instance_gets_one_report_of_a_round(self):
+        turns = ReceiverTurns(SeededRandomness(1))
+        for _ in range(3):
+            taken = [turns.take(HOSTS) for _ in range(count_turns(len(HOSTS)))]
+            self.assertEqual(sorted(sum(taken, [])), sorted(HOSTS))
+            self.assertLessEqual(max(map(len, taken)), RECEIVERS_MAX)
+
+    def test_small_fleet_gets_all_reports(self):
+        turns = ReceiverTurns(SeededRandomness(1))
+        self.assertEqual(turns.take(HOSTS[:RECEIVERS_MAX]), HOSTS[:RECEIVERS_MAX])
+
+    def test_lost_instance_is_left_out_and_a_new_one_gets_its_turn(self):
+        turns = ReceiverTurns(SeededRandomness(1))
+        turns.take(HOSTS)
+        changed = [*HOSTS[1:], "new"]
+        rounds = 2 * count_turns(len(HOSTS))
+        taken = {host for _ in range(rounds) for host in turns.take(changed)}
+        self.assertEqual(taken, set(changed))
+
+    def test_news_reaches_every_instance(self):
+        table, turns = HolderTable(), ReceiverTurns(SeededRandomness(1))
+        upstreams = [make_upstream(f"u{n}") for n in range(70)]
+        expected = min(table.find(ENGINES, "k", upstreams, 0.0))
+        other = next(u.id for u in upstreams if u.id != expected)
+        table.note(ENGINES, "k", other, upstreams, 0.0)
+        told = set()
+        for _ in range(NEWS_REPEATS * count_turns(len(HOSTS)) + 1):
+            receivers = turns.take(HOSTS)
+            if table.take_news(0.0, count_turns(len(HOSTS))):
+                told.update(receivers)
+        self.assertEqual(told, set(HOSTS))
+
+
+class LoadAgeTest(unittest.TestCase):
+    """Guards against loads that are dropped before the next report can come."""
+
+    def test_loads_last_for_two_reports(self):
+        book = LoadBook()
+        book.set_peer("other", {UpstreamId("u1"): (3, 0)}, 0.0)
+        interval_s = 2 * LOAD_AGE_MAX_S
+        for now, total in ((LOAD_AGE_MAX_S + 0.1, 3), (2 * interval_s + 0.1, 0)):
+            found = book.sum_loads(now, interval_s).get("u1", (0, 0))
+            self.assertEqual(found[0], total)
+
+
+if __name__ == "__main__":
+    unittest.main()
