Forget what an upstream held when it starts again under its id

An upstream may keep its id over a restart; only its start time changes, and its cache is empty. Found by reading: it stayed a holder of parts and a source of copies.

--- a/src/fescueflow/gateway/beliefs.py
+++ b/src/fescueflow/gateway/beliefs.py
@@ -28,6 +28,8 @@
         self._table: RoutingTable | None = None
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._doubted: dict[UpstreamId, float] = {}
+        # Upstreams that have started again under the id that they had.
+        self._restarted: set[UpstreamId] = set()
         self._withdrawn: frozenset[ZoneId] = frozenset()
         self._grace_until = 0.0
         self._current_at = 0.0
@@ -83,8 +85,16 @@
             self._doubted.pop(upstream.id, None)
             before = self._upstreams.get(upstream.id)
             self._upstreams[upstream.id] = upstream
+            if before and before.started_at_ms != upstream.started_at_ms:
+                self._restarted.add(upstream.id)
             return before
 
+    def take_restarted(self) -> set[UpstreamId]:
+        """Return the upstreams that have started again since the last call."""
+        with self._lock:
+            restarted, self._restarted = self._restarted, set()
+            return restarted
+
     def remove_upstream(self, upstream: UpstreamId, now: float) -> bool:
         """Take over a deletion; return whether it holds at once."""
         with self._lock:
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -246,7 +246,11 @@
             for gone in self._beliefs.drop_doubted(now):
                 log.info("upstream {} did not return after the outage", gone)
             kept = self._beliefs.list_all()
-            self._chooser.forget({upstream.id for upstream in kept})
+            names = {upstream.id for upstream in kept}
+            if restarted := self._beliefs.take_restarted():
+                log.info("upstreams restarted: {}", sorted(restarted))
+                self._chooser.forget(names - restarted)
+            self._chooser.forget(names)
             self._pool.close_idle({upstream.address for upstream in kept})
 
 
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -35,6 +35,16 @@
         self.assertTrue(self.beliefs.remove_upstream("u1", 1.0))
         self.assertEqual(self.list_names(), {"u2"})
 
+    def test_restart_under_the_same_id(self):
+        first = replace(self.upstreams[0], started_at_ms=1)
+        self.beliefs.put_upstream(first)
+        self.beliefs.take_restarted()
+        self.beliefs.put_upstream(first)
+        self.assertEqual(self.beliefs.take_restarted(), set())
+        self.beliefs.put_upstream(replace(first, started_at_ms=2))
+        self.assertEqual(self.beliefs.take_restarted(), {"u1"})
+        self.assertEqual(self.beliefs.take_restarted(), set())
+
     def test_draining_gets_nothing(self):
         leaving = replace(self.upstreams[0], state=UpstreamState.DRAINING)
         self.beliefs.put_upstream(leaving)
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -315,6 +315,23 @@
         self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
         self.assertNotIn("Kv-Fetch", other.arrivals[-1][1])
 
+    def test_restarted_upstream_is_no_source(self):
+        holder = self.upstreams[self.find_holder()]
+        other = self.upstreams[1 - self.find_holder()]
+        self.store.put(f"servers/{holder.name}", holder.make_entry(born=2))
+        # The upstream has an empty cache; instances notice within half a second.
+        chooser = self.gateway._chooser
+        self.wait_for(lambda: not chooser._holders._parts["5c"].used_at)
+        self.store.put(
+            f"servers/{holder.name}", holder.make_entry(born=2, state="draining")
+        )
+
+        # A request before that would make it a holder again.
+        beliefs = self.gateway._beliefs
+        self.wait_for(lambda: len(beliefs.list_upstreams("engines", 0.0)) == 1)
+        self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
+        self.assertNotIn("Kv-Fetch", other.arrivals[0][1])
+
     def test_caller_cannot_name_a_source(self):
         sent = {**self.prompt, "Kv-Fetch": "127.0.0.1:9"}
         self.assertEqual(self.call("/stream/1", headers=sent)[0], 200)
