List all instances less often in the reports of large fleets

Cause: every fourth report lists all instances; at 73 of them each instance got three such reports of 6 KB in 0.35 s, over links of 5 Mbit/s.

--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -15,9 +15,6 @@
 
 # Interval of the reports, in seconds: a quarter of the age at which loads are dropped.
 REPORT_S = 0.35
-# Reports from one that lists all known instances to the next; the others hold only
-# the sender, since bytes between zones are dear and members change seldom.
-FULL_REPORT_EVERY = 4
 # An instance that nobody has heard for this long is not named to callers, in
 # seconds: four reports, so that a lost datagram does not remove it.
 SILENCE_MAX_S = 1.5
@@ -295,7 +292,6 @@
 
 __all__ = [
     "COUNT_S",
-    "FULL_REPORT_EVERY",
     "REPORT_S",
     "PeerLink",
     "PeerRecord",
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -25,7 +25,6 @@
 from fescueflow.gateway.logs import log_to_stdout
 from fescueflow.gateway.peers import (
     COUNT_S,
-    FULL_REPORT_EVERY,
     PeerLink,
     PeerRecord,
     PeerReport,
@@ -34,6 +33,7 @@
     encode_report,
 )
 from fescueflow.gateway.server import CALLER_THREADS, PAGE_THREADS, GatewayServer
+from fescueflow.gateway.turns import is_full_report
 from fescueflow.gateway.watching import (
     SILENCE_S,
     OperatorFollower,
@@ -216,7 +216,8 @@
         self._update_own()
         now = self._clock.monotonic()
         own, known = self._peers.get_own(), []
-        if own.sequence % FULL_REPORT_EVERY == 1 or self._has_newcomer:
+        receivers = self._peers.count(now) - 1
+        if is_full_report(own.sequence, receivers) or self._has_newcomer:
             self._has_newcomer = False
             known = [p for p in self._peers.list_all() if now - p.heard_at <= COUNT_S]
         report = PeerReport(
--- a/src/fescueflow/gateway/turns.py
+++ b/src/fescueflow/gateway/turns.py
@@ -7,6 +7,9 @@
 # Instances that get each report. Twelve reports of 1 KB each 0.35 s take 0.3 Mbit/s of
 # the 5 Mbit/s that the smallest links of the large sites have.
 RECEIVERS_MAX = 12
+# Rounds from one report that lists all known instances to the next; the others hold
+# only the sender, since bytes between zones are dear and members change seldom.
+FULL_REPORT_ROUNDS = 4
 
 
 def count_turns(receivers: int) -> int:
@@ -14,6 +17,23 @@
     return max(1, math.ceil(receivers / RECEIVERS_MAX))
 
 
+def is_full_report(sequence: int, receivers: int) -> bool:
+    """Return whether a report lists all known instances.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the report.
+    receivers : int
+        Instances that get reports.
+
+    Notes
+    -----
+    Whatever the size of the fleet, an instance gets a few full reports in four rounds.
+    """
+    return sequence % (FULL_REPORT_ROUNDS * count_turns(receivers)) == 1
+
+
 class ReceiverTurns:
     """Takes the receivers by turns, in a new random order each round.
 
@@ -40,4 +60,4 @@
         return taken
 
 
-__all__ = ["RECEIVERS_MAX", "ReceiverTurns", "count_turns"]
+__all__ = ["RECEIVERS_MAX", "ReceiverTurns", "count_turns", "is_full_report"]
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -4,7 +4,12 @@
 
 from fescueflow.core import SeededRandomness, UpstreamId
 from fescueflow.gateway.loads import LOAD_AGE_MAX_S, LoadBook
-from fescueflow.gateway.turns import RECEIVERS_MAX, ReceiverTurns, count_turns
+from fescueflow.gateway.turns import (
+    RECEIVERS_MAX,
+    ReceiverTurns,
+    count_turns,
+    is_full_report,
+)
 from fescueflow.routing import HolderTable
 from fescueflow.routing.holders import NEWS_REPEATS
 from tests.routing.builders import ENGINES, make_upstream
@@ -49,6 +54,20 @@
         self.assertEqual(told, set(HOSTS))
 
 
+class FullReportTest(unittest.TestCase):
+    """Guards against control traffic that grows with the square of the fleet."""
+
+    def test_an_instance_gets_as_many_full_reports_in_a_large_fleet(self):
+        for receivers in (8, 72, 450):
+            reports = 4 * 4 * count_turns(receivers)
+            full = sum(is_full_report(n, receivers) for n in range(reports))
+            self.assertEqual(full, 4)
+
+    def test_small_fleet_lists_all_in_each_fourth_report(self):
+        full = [n for n in range(12) if is_full_report(n, RECEIVERS_MAX)]
+        self.assertEqual(full, [1, 5, 9])
+
+
 class LoadAgeTest(unittest.TestCase):
     """Guards against loads that are dropped before the next report can come."""
 
