Read the settings file again at SIGHUP

Limits, the grace period and the times of addresses and heartbeats change at once; names and addresses wait for the next start. A file with a problem changes nothing.

--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -158,8 +158,8 @@
     clock : Clock
     metrics : Metrics
     is_ready : callable
-    keep_s : float
-        How long callers may keep an answer.
+    get_keep_s : callable
+        Returns how long callers may keep an answer, in seconds.
     """
 
     def __init__(
@@ -169,13 +169,13 @@
         clock: Clock,
         metrics: Metrics,
         is_ready: Callable[[], bool],
-        keep_s: float,
+        get_keep_s: Callable[[], float],
     ) -> None:
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
         self._is_ready = is_ready
-        self._keep_s = keep_s
+        self._get_keep_s = get_keep_s
 
     def __call__(
         self, environ: Environment, start_response: StartResponse
@@ -200,7 +200,7 @@
         addresses = choose_addresses(serving, zone, ADDRESSES_MAX)
         if not addresses:
             return 503, JSON_TYPE, b"{}"
-        return 200, JSON_TYPE, make_directory_body(addresses, self._keep_s)
+        return 200, JSON_TYPE, make_directory_body(addresses, self._get_keep_s())
 
 
 __all__ = ["REQUEST_URI", "CallerApplication", "PageApplication"]
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -98,6 +98,14 @@
             boot.repeat_ratio, boot.repeat_base, boot.repeat_window_s
         )
 
+    def set_boot(self, boot: BootSettings) -> None:
+        """Take over changed settings."""
+        with self._lock:
+            self._boot = boot
+            self._budget.set_limits(
+                boot.repeat_ratio, boot.repeat_base, boot.repeat_window_s
+            )
+
     def note_first(self, service: ServiceId) -> None:
         """Count a request for the budget of repeats."""
         with self._lock:
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -3,8 +3,9 @@
 import os
 import signal
 import threading
-from collections.abc import Mapping
-from dataclasses import replace
+from collections.abc import Callable, Mapping
+from dataclasses import fields, replace
+from functools import partial
 
 import logbook
 
@@ -61,6 +62,18 @@
 # Longest time for a whole answer of the store, in seconds.
 READ_MAX_S = 3.0
 EXIT_INVALID = 2
+# Settings that a running process takes over; addresses and names need a restart.
+RELOADED_SETTINGS = frozenset(
+    {
+        "address_keep_max_s",
+        "grace_s",
+        "imbalance_factor",
+        "repeat_base",
+        "repeat_ratio",
+        "repeat_window_s",
+        "server_heartbeat_s",
+    }
+)
 
 log = logbook.Logger("process")
 
@@ -73,12 +86,20 @@
     boot : BootSettings
     clock : Clock
     randomness : Randomness
+    load : callable, optional
+        Reads the settings again; raises ``InvalidSettings``.
     """
 
     def __init__(
-        self, boot: BootSettings, clock: Clock, randomness: Randomness
+        self,
+        boot: BootSettings,
+        clock: Clock,
+        randomness: Randomness,
+        load: Callable[[], BootSettings] | None = None,
     ) -> None:
         self._boot = boot
+        self._load = load
+        self._settings_changed = threading.Event()
         self._clock = clock
         self._metrics = Metrics()
         self._leaving = threading.Event()
@@ -118,6 +139,10 @@
         threading.Thread(target=self._keep_up, name="upkeep", daemon=True).start()
         log.info("started {} in {}", self._boot.instance, self._boot.zone)
 
+    def note_settings_changed(self) -> None:
+        """Have the settings read again soon; may be called by a signal handler."""
+        self._settings_changed.set()
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return self._beliefs.get_table() is not None and not self._leaving.is_set()
@@ -192,7 +217,7 @@
             clock=self._clock,
             metrics=self._metrics,
             is_ready=self.is_ready,
-            keep_s=min(ADDRESS_KEEP_S, self._boot.address_keep_max_s),
+            get_keep_s=lambda: min(ADDRESS_KEEP_S, self._boot.address_keep_max_s),
         )
         return GatewayServer(
             application=application,
@@ -241,8 +266,31 @@
         self._loads.set_peer(report.records[0].instance, report.loads, now)
         self._chooser.merge_news(report.news)
 
+    def _reload(self) -> None:
+        """Read the settings again; those that are invalid change nothing."""
+        if self._load is None:
+            return
+        try:
+            boot = self._load()
+        except InvalidSettings as error:
+            log.error("settings refused, the last ones stay: {}", error.problems)
+            return
+        changed = sorted(
+            field.name
+            for field in fields(boot)
+            if getattr(boot, field.name) != getattr(self._boot, field.name)
+        )
+        later = [name for name in changed if name not in RELOADED_SETTINGS]
+        now = {n: getattr(boot, n) for n in changed if n in RELOADED_SETTINGS}
+        self._boot = replace(self._boot, **now)
+        self._chooser.set_boot(self._boot)
+        log.info("settings read again", extra={"changed": now, "at_restart": later})
+
     def _keep_up(self) -> None:
         while not self._clock.wait(self._stopped, UPKEEP_S):
+            if self._settings_changed.is_set():
+                self._settings_changed.clear()
+                self._reload()
             now = self._clock.monotonic()
             for gone in self._beliefs.drop_doubted(now):
                 log.info("upstream {} did not return after the outage", gone)
@@ -280,19 +328,20 @@
 
 def run(environment: Mapping[str, str] | None = None) -> int:
     """Run one instance until SIGTERM; return the exit code."""
+    load = partial(load_boot, os.environ if environment is None else environment)
     with log_to_stdout() as handler:
         try:
-            boot = load_boot(os.environ if environment is None else environment)
+            boot = load()
         except InvalidSettings as error:
             for problem in error.problems:
                 log.error("settings: {}", problem)
             handler.flush_within(1.0)
             return EXIT_INVALID
         handler.instance = boot.instance
-        gateway = Gateway(boot, SystemClock(), SystemRandomness())
+        gateway = Gateway(boot, SystemClock(), SystemRandomness(), load)
         ended = threading.Event()
         signal.signal(signal.SIGTERM, lambda *_: ended.set())
-        signal.signal(signal.SIGHUP, lambda *_: log.info("settings file changed"))
+        signal.signal(signal.SIGHUP, lambda *_: gateway.note_settings_changed())
         gateway.start()
         ended.wait()
         gateway.leave()
--- a/src/fescueflow/routing/retries.py
+++ b/src/fescueflow/routing/retries.py
@@ -70,6 +70,10 @@
         self._firsts: dict[ServiceId, deque[float]] = {}
         self._repeats: dict[ServiceId, deque[float]] = {}
 
+    def set_limits(self, ratio: float, base: float, window_s: float) -> None:
+        """Replace the limits; what is counted stays."""
+        self._ratio, self._base, self._window_s = ratio, base, window_s
+
     def add_first(self, service: ServiceId, now: float) -> None:
         """Count a first attempt."""
         self._trim(self._firsts, service, now).append(now)
