--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -180,67 +180,76 @@
             usable = self._find_usable(listed, tried, now)
             if not usable:
                 raise Overloaded("no upstream takes work", retry_after_ms=RETURN_MS)
-            interval_s = REPORT_S * self._count_turns(now)
-            totals = self._loads.sum_loads(now, interval_s)
-            own = self._loads.list_own()
-            candidates = [
-                Candidate(u, make_load(totals, own, u.id, self._health.get_rate(u.id)))
-                for u in usable
-            ]
             cached = self._holders.find(service, prompt.key, listed, now)
-            answering = self._list_answering(service, tried)
-            sources = self._holders.rank_sources(
-                prompt.key, frozenset(answering), cached
-            )
-            copy_rate = self._get_copy_rate(service) if sources else 0.0
+            sources = self._rank_sources(service, prompt, tried, cached)
             placements = rank_placements(
-                candidates,
+                self._list_candidates(usable, now),
                 prompt,
                 cached,
                 self._boot.imbalance_factor,
                 self._boot.zone,
                 self._beliefs.count_upstreams(service),
-                copy_rate,
+                self._get_copy_rate(service) if sources else 0.0,
             )
             chosen = self._take_pace(placements, now)
-            if chosen is None:
-                raise Overloaded("all upstreams are cold", retry_after_ms=RETURN_MS)
-            hold_ms = self._loads.get_hold_s(service) * 1000
-            verdict = judge([chosen], remaining_s * 1000, hold_ms, 0.0)
-            if not verdict.is_admitted:
-                raise Overloaded(
-                    f"the answer is expected after {verdict.prediction.answer_ms:.0f}"
-                    f" ms, {remaining_s * 1000:.0f} ms are left",
-                    retry_after_ms=round(verdict.retry_after_s * 1000),
-                )
+            self._admit(service, chosen, remaining_s)
             upstream = chosen.candidate.upstream
-            source = None
-            if is_copy_worthwhile(prompt, copy_rate) and upstream.id not in sources:
-                source = answering[sources[0]]
+            is_held = any(source.id == upstream.id for source in sources)
+            source = sources[0] if sources and not is_held else None
             self._holders.note(service, prompt.key, upstream.id, listed, now)
             ticket = self._loads.start(upstream.id, service, chosen.unread_tokens)
             return Choice(chosen, ticket, source)
 
+    def _list_candidates(self, usable: list[Upstream], now: float) -> list[Candidate]:
+        """Return upstreams with the load of the whole fleet there."""
+        interval_s = REPORT_S * self._count_turns(now)
+        totals, own = self._loads.sum_loads(now, interval_s), self._loads.list_own()
+        return [
+            Candidate(u, make_load(totals, own, u.id, self._health.get_rate(u.id)))
+            for u in usable
+        ]
+
+    def _admit(
+        self, service: ServiceId, placement: Placement, remaining_s: float
+    ) -> None:
+        """Raise ``Overloaded`` if the answer can't come in time."""
+        hold_ms = self._loads.get_hold_s(service) * 1000
+        verdict = judge([placement], remaining_s * 1000, hold_ms, 0.0)
+        if not verdict.is_admitted:
+            raise Overloaded(
+                f"the answer is expected after {verdict.prediction.answer_ms:.0f}"
+                f" ms, {remaining_s * 1000:.0f} ms are left",
+                retry_after_ms=round(verdict.retry_after_s * 1000),
+            )
+
     def _count_turns(self, now: float) -> int:
         """Return the number of reports until each other instance has got one."""
         return count_turns(self._peers.count(now) - 1)
 
-    def _list_answering(
-        self, service: ServiceId, tried: set[UpstreamId]
-    ) -> dict[UpstreamId, Upstream]:
-        """Return the upstreams that others can copy from, by id.
+    def _rank_sources(
+        self,
+        service: ServiceId,
+        prompt: Prompt,
+        tried: set[UpstreamId],
+        expected: frozenset[UpstreamId],
+    ) -> list[Upstream]:
+        """Return the upstreams to copy the shared part from, the last user first.
 
         Notes
         -----
         Those that leave or lie in a withdrawn zone go on answering other upstreams.
         """
-        return {
+        if not is_copy_worthwhile(prompt, self._get_copy_rate(service)):
+            return []
+        answering = {
             upstream.id: upstream
             for upstream in self._beliefs.list_all()
             if upstream.service == service
             and upstream.id not in tried
             and not self._health.has_failed(upstream.id)
         }
+        names = self._holders.rank_sources(prompt.key, frozenset(answering), expected)
+        return [answering[name] for name in names]
 
     def _get_copy_rate(self, service: ServiceId) -> float:
         table = self._beliefs.get_table()
@@ -255,8 +264,13 @@
         healthy = [u for u in fresh if not self._health.is_paused(u.id, now)]
         return healthy or fresh
 
-    def _take_pace(self, placements: list[Placement], now: float) -> Placement | None:
-        """Return the first placement that is warm or within the pace of cold ones."""
+    def _take_pace(self, placements: list[Placement], now: float) -> Placement:
+        """Return the first placement that is warm or within the pace of cold ones.
+
+        Raises
+        ------
+        Overloaded
+        """
         table = self._beliefs.get_table()
         instances = self._peers.count(now)
         for placement in placements:
@@ -268,7 +282,7 @@
                 return placement
             if self._pace.take(upstream.id, service.cold_per_s, instances, now):
                 return placement
-        return None
+        raise Overloaded("all upstreams are cold", retry_after_ms=RETURN_MS)
 
 
 __all__ = ["RETURN_MS", "Choice", "Chooser"]
