Count the wait for a place in the cost; refuse only what nobody can serve

Cause: a holder with all places taken went first, and admission judged only the first placement.

The tests of admission build placements as the product does; their bounds are the same.

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -25,6 +25,7 @@
     is_copy_worthwhile,
     judge,
     rank_placements,
+    select_in_time,
 )
 
 # When a caller that no upstream can take may return, in milliseconds: an upstream
@@ -190,9 +191,10 @@
                 self._boot.zone,
                 self._beliefs.count_upstreams(service),
                 self._get_copy_rate(service) if sources else 0.0,
+                self._loads.get_hold_s(service) * 1000,
             )
-            chosen = self._take_pace(placements, now)
-            self._admit(service, chosen, remaining_s)
+            in_time = self._admit(placements, remaining_s)
+            chosen = self._take_pace(in_time, now)
             upstream = chosen.candidate.upstream
             is_held = any(source.id == upstream.id for source in sources)
             source = sources[0] if sources and not is_held else None
@@ -210,17 +212,24 @@
         ]
 
     def _admit(
-        self, service: ServiceId, placement: Placement, remaining_s: float
-    ) -> None:
-        """Raise ``Overloaded`` if the answer can't come in time."""
-        hold_ms = self._loads.get_hold_s(service) * 1000
-        verdict = judge([placement], remaining_s * 1000, hold_ms, 0.0)
-        if not verdict.is_admitted:
-            raise Overloaded(
-                f"the answer is expected after {verdict.prediction.answer_ms:.0f}"
-                f" ms, {remaining_s * 1000:.0f} ms are left",
-                retry_after_ms=round(verdict.retry_after_s * 1000),
-            )
+        self, placements: list[Placement], remaining_s: float
+    ) -> list[Placement]:
+        """Return the placements whose answer begins in time.
+
+        Raises
+        ------
+        Overloaded
+            If there is none.
+        """
+        remaining_ms = remaining_s * 1000
+        if in_time := select_in_time(placements, remaining_ms, 0.0):
+            return in_time
+        verdict = judge(placements, remaining_ms, 0.0)
+        raise Overloaded(
+            f"the answer is expected after {verdict.prediction.answer_ms:.0f}"
+            f" ms, {remaining_ms:.0f} ms are left",
+            retry_after_ms=round(verdict.retry_after_s * 1000),
+        )
 
     def _count_turns(self, now: float) -> int:
         """Return the number of reports until each other instance has got one."""
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -3,7 +3,13 @@
 Time, loads and beliefs are arguments; nothing here reads a clock or a socket.
 """
 
-from fescueflow.routing.admission import Prediction, Verdict, judge, predict
+from fescueflow.routing.admission import (
+    Prediction,
+    Verdict,
+    judge,
+    predict,
+    select_in_time,
+)
 from fescueflow.routing.errors import CallerGone, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdPace, UpstreamHealth
 from fescueflow.routing.holders import HolderNews, HolderTable
@@ -78,4 +84,5 @@
     "parse_prompt",
     "predict",
     "rank_placements",
+    "select_in_time",
 ]
--- a/src/fescueflow/routing/admission.py
+++ b/src/fescueflow/routing/admission.py
@@ -38,26 +38,27 @@
     retry_after_s: float = 0.0
 
 
-def predict(placement: Placement, answer_ms: float) -> Prediction:
-    """Return when a place is free and when the answer begins.
+def predict(placement: Placement) -> Prediction:
+    """Return when a place is free and when the answer begins."""
+    return Prediction(placement.wait_ms, placement.cost_ms)
 
-    Parameters
-    ----------
-    placement : Placement
-    answer_ms : float
-        Mean time that a request holds a place of this service.
+
+def select_in_time(
+    placements: Sequence[Placement], remaining_ms: float, answer_ms: float
+) -> list[Placement]:
+    """Return the placements whose answer comes in time, in the same order.
+
+    Notes
+    -----
+    The first placement of a request may be its holder with a long queue while another
+    upstream has a place.
     """
-    upstream, load = placement.candidate.upstream, placement.candidate.load
-    slots = max(1, upstream.slots)
-    ahead = max(0, load.running + 1 - slots)
-    wait_ms = ahead * answer_ms / slots
-    return Prediction(wait_ms, wait_ms + placement.cost_ms)
+    return [p for p in placements if judge([p], remaining_ms, answer_ms).is_admitted]
 
 
 def judge(
     placements: Sequence[Placement],
     remaining_ms: float,
-    place_ms: float,
     answer_ms: float,
 ) -> Verdict:
     """Decide on a request by its best placement.
@@ -68,8 +69,6 @@
         At least one.
     remaining_ms : float
         Time until the deadline.
-    place_ms : float
-        Mean time that a request holds a place of this service.
     answer_ms : float
         Mean time from the start of a request to the part of its answer that must
         arrive before the deadline.
@@ -78,7 +77,7 @@
     -------
     Verdict
     """
-    best = min((predict(p, place_ms) for p in placements), key=lambda p: p.answer_ms)
+    best = min((predict(p) for p in placements), key=lambda p: p.answer_ms)
     late_ms = best.answer_ms + answer_ms - remaining_ms * (1 - MARGIN_PART)
     if late_ms <= 0:
         return Verdict(True, best)
@@ -86,4 +85,4 @@
     return Verdict(False, best, retry_after_s)
 
 
-__all__ = ["Prediction", "Verdict", "judge", "predict"]
+__all__ = ["Prediction", "Verdict", "judge", "predict", "select_in_time"]
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -80,7 +80,8 @@
     """A candidate with the expected time to the first event, in milliseconds.
 
     ``unread_tokens`` is what the upstream has to read of the prompt; ``is_copied``
-    says that it takes over the shared part from another upstream.
+    says that it takes over the shared part from another upstream. ``wait_ms`` is the
+    part of the time until a place is free.
     """
 
     candidate: Candidate
@@ -88,6 +89,7 @@
     is_cached: bool
     unread_tokens: int = 0
     is_copied: bool = False
+    wait_ms: float = 0.0
 
 
 def parse_prompt(parts: str, token_counts: str) -> Prompt:
@@ -141,7 +143,11 @@
 
 
 def place(
-    candidate: Candidate, prompt: Prompt, is_cached: bool, copy_tokens_per_ms: float
+    candidate: Candidate,
+    prompt: Prompt,
+    is_cached: bool,
+    copy_tokens_per_ms: float,
+    place_ms: float,
 ) -> Placement:
     """Return a placement with the expected time to the first event."""
     is_copied = not is_cached and is_copy_worthwhile(prompt, copy_tokens_per_ms)
@@ -153,8 +159,23 @@
         copy_ms += COPY_MEMORY_PART * reading_ms
     elif not is_cached:
         unread += prompt.shared_tokens
-    cost_ms = estimate_cost_ms(candidate.load, unread) + copy_ms
-    return Placement(candidate, cost_ms, is_cached, unread, is_copied)
+    wait_ms = estimate_wait_ms(candidate, place_ms)
+    cost_ms = wait_ms + estimate_cost_ms(candidate.load, unread) + copy_ms
+    return Placement(candidate, cost_ms, is_cached, unread, is_copied, wait_ms)
+
+
+def estimate_wait_ms(candidate: Candidate, place_ms: float) -> float:
+    """Return the expected time until a place is free.
+
+    Parameters
+    ----------
+    candidate : Candidate
+    place_ms : float
+        Mean time that a request holds a place of this service.
+    """
+    slots = max(1, candidate.upstream.slots)
+    ahead = max(0, candidate.load.running + 1 - slots)
+    return ahead * place_ms / slots
 
 
 def estimate_cost_ms(load: UpstreamLoad, unread_tokens: int) -> float:
@@ -206,6 +227,7 @@
     near: ZoneId | None = None,
     service_size: int | None = None,
     copy_tokens_per_ms: float = 0.0,
+    place_ms: float = 0.0,
 ) -> list[Placement]:
     """Return the candidates by rising cost, balanced ones first.
 
@@ -224,11 +246,13 @@
     copy_tokens_per_ms : float, optional
         Rate at which an upstream copies the shared part from a holder; zero if no
         holder answers.
+    place_ms : float, optional
+        Mean time that a request holds a place of this service.
     """
     within = find_balanced(candidates, imbalance_factor, service_size)
     balanced = {candidate.upstream.id for candidate in within}
     placements = [
-        place(c, prompt, c.upstream.id in cached_at, copy_tokens_per_ms)
+        place(c, prompt, c.upstream.id in cached_at, copy_tokens_per_ms, place_ms)
         for c in candidates
     ]
 
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -2,33 +2,43 @@
 
 import unittest
 
-from fescueflow.routing import Placement, judge
+from fescueflow.routing import Prompt, judge, rank_placements, select_in_time
 from tests.routing.builders import make_candidate
 
 
-def place(running, slots=6, cost_ms=5.0):
+def place(running, slots=6, hold_ms=40.0, own_tokens=500, name="u1"):
     """Return a placement at an upstream with this load."""
-    return Placement(make_candidate(running=running, slots=slots), cost_ms, False)
+    candidate = make_candidate(name, running=running, slots=slots)
+    prompt = Prompt(own_tokens=own_tokens)
+    return rank_placements([candidate], prompt, frozenset(), 2.0, place_ms=hold_ms)[0]
 
 
 class JudgeTest(unittest.TestCase):
     """Guards against requests that wait for an answer that comes too late."""
 
     def test_free_place(self):
-        self.assertTrue(judge([place(5)], 100.0, 40.0, 40.0).is_admitted)
+        self.assertTrue(judge([place(5)], 100.0, 40.0).is_admitted)
 
     def test_answer_after_the_deadline_is_refused_at_once(self):
         # 36 requests ahead of six places of 40 ms each: 240 ms and the answer.
-        verdict = judge([place(41)], 200.0, 40.0, 40.0)
+        verdict = judge([place(41)], 200.0, 40.0)
         self.assertFalse(verdict.is_admitted)
         self.assertGreater(verdict.prediction.wait_ms, 200.0)
 
     def test_one_upstream_in_time_is_enough(self):
-        verdict = judge([place(41), place(2)], 200.0, 40.0, 40.0)
+        verdict = judge([place(41), place(2)], 200.0, 40.0)
         self.assertTrue(verdict.is_admitted)
 
+    def test_holder_with_a_queue_leaves_the_request_to_another(self):
+        # The first placement is the holder; its queue takes 240 ms.
+        queued, free = place(41, name="u1"), place(2, name="u2")
+        self.assertFalse(judge([queued], 200.0, 40.0).is_admitted)
+        found = select_in_time([queued, free], 200.0, 40.0)
+        self.assertEqual([p.candidate.upstream.id for p in found], ["u2"])
+        self.assertEqual(select_in_time([queued], 200.0, 40.0), [])
+
     def test_return_time_grows_with_the_backlog(self):
-        times = [judge([place(n)], 200.0, 40.0, 40.0).retry_after_s for n in (90, 200)]
+        times = [judge([place(n)], 200.0, 40.0).retry_after_s for n in (90, 200)]
         self.assertLess(times[0], times[1])
 
 
@@ -57,7 +67,9 @@
 
 def decide_by_prediction(running, patience_ms, hold_ms):
     """Return the product's decision."""
-    return judge([place(int(running))], patience_ms, hold_ms, hold_ms).is_admitted
+    return judge(
+        [place(int(running), hold_ms=hold_ms)], patience_ms, hold_ms
+    ).is_admitted
 
 
 class ReplayTest(unittest.TestCase):
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -90,6 +90,21 @@
             self.assertEqual(placed.unread_tokens, unread)
             self.assertEqual(placed.is_copied, first == "u2")
 
+    def test_holder_without_a_free_place_is_passed_over(self):
+        # One request is ahead of twelve places that are held for 1.2 s each: 100 ms.
+        full = make_candidate("u1", running=12, slots=12)
+        free = make_candidate("u2", running=9, slots=12)
+        for place_ms, first in ((0.0, "u1"), (1_200.0, "u2")):
+            placed = rank_placements(
+                [full, free],
+                make_prompt(),
+                frozenset({UpstreamId("u1")}),
+                FACTOR,
+                copy_tokens_per_ms=2_000.0,
+                place_ms=place_ms,
+            )
+            self.assertEqual(placed[0].candidate.upstream.id, first)
+
     def test_short_wait_at_the_holder_is_no_reason_to_copy(self):
         # One prompt of 1,400 tokens waits at the holder, for 13 ms.
         queued = make_candidate("u1", running=5, waiting_tokens=1_400)
