Spread the first requests of a large fleet to a cold upstream

Change: where an instance's part is less than one request a second, it begins at a point of the interval that differs between instances. The test has 88 at once before, 32 at most after.

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -93,7 +93,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._health = UpstreamHealth()
-        self._pace = ColdPace()
+        self._pace = ColdPace(str(boot.instance))
         self._holders = HolderTable()
         self._budget = RepeatBudget(
             boot.repeat_ratio, boot.repeat_base, boot.repeat_window_s
--- a/src/fescueflow/routing/health.py
+++ b/src/fescueflow/routing/health.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from fescueflow.core import UpstreamId
+from fescueflow.core import UpstreamId, score_candidate
 
 # Failures in a row after which an upstream is left out.
 FAILURES_MAX = 3
@@ -79,9 +79,17 @@
 
 
 class ColdPace:
-    """Requests to cold upstreams, this instance's part of the fleet's pace."""
+    """Requests to cold upstreams, this instance's part of the fleet's pace.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    name : str
+        Of this instance; spreads the first requests of a large fleet over the time
+        in which each instance may send one.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
         # For each upstream, the tokens left and when they were counted.
         self._tokens: dict[UpstreamId, tuple[float, float]] = {}
 
@@ -99,11 +107,19 @@
         now : float
         """
         share = per_s / max(1, instances)
-        left, counted_at = self._tokens.get(upstream, (1.0, now))
+        known = self._tokens.get(upstream)
+        left, counted_at = known or (1.0, now)
+        if share < 1.0 and (not known or (now - counted_at) * share >= 1.0):
+            # After a pause every instance could send one at the same moment.
+            left, counted_at = self._spread(upstream), now
         left = min(max(1.0, share), left + (now - counted_at) * share)
         granted = left >= 1.0
         self._tokens[upstream] = (left - 1.0 if granted else left, now)
         return granted
 
+    def _spread(self, upstream: UpstreamId) -> float:
+        """Return a number from 0 to 1 that differs between instances."""
+        return score_candidate(self._name, str(upstream)) / 2**64
+
 
 __all__ = ["ColdPace", "UpstreamHealth"]
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -34,7 +34,7 @@
     """Guards against a cold upstream that gets the pace from every instance."""
 
     def test_fleet_stays_within_the_pace(self):
-        paces = [ColdPace() for _ in range(9)]
+        paces = [ColdPace(f"edge-{n}") for n in range(9)]
         times = [n / 100 for n in range(300)]
         sent = [now for now in times for pace in paces if pace.take(NAME, 20.0, 9, now)]
         # The rule allows one and a half times the pace and five more.
@@ -42,6 +42,33 @@
             within = sum(start <= now < start + 1.0 for now in sent)
             self.assertLessEqual(within, 1.5 * 20 + 5)
 
+    def count_most(self, instances, per_s, first_s):
+        """Return the most requests within a second after a turn to cold."""
+        paces = [ColdPace(f"edge-{n}") for n in range(instances)]
+        for pace in paces:
+            pace.take(NAME, per_s, instances, 0.0)
+        times = [first_s + n / 20 for n in range(60)]
+        sent = [
+            now
+            for now in times
+            for pace in paces
+            if pace.take(NAME, per_s, instances, now)
+        ]
+        return max(sum(start <= now < start + 1.0 for now in sent) for start in times)
+
+    def test_large_fleet_does_not_start_with_one_request_from_each(self):
+        # Just after the first requests, and cold once more after a minute.
+        for first_s in (0.05, 60.0):
+            self.assertLessEqual(self.count_most(88, 18.0, first_s), 1.5 * 18 + 5)
+
+    def test_large_fleet_uses_the_pace(self):
+        paces = [ColdPace(f"edge-{n}") for n in range(88)]
+        times = [n / 20 for n in range(100)]
+        sent = [
+            now for now in times for p in paces if p.take(NAME, 18.0, len(paces), now)
+        ]
+        self.assertGreater(len(sent), 0.8 * 18 * 5)
+
 
 if __name__ == "__main__":
     unittest.main()
