Refuse a settings file that is not text; document units of a placement

An error of another type would end the task that reads the file again. The heartbeat of upstreams needs a restart, since the watch is made with it.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -71,7 +71,6 @@
         "repeat_base",
         "repeat_ratio",
         "repeat_window_s",
-        "server_heartbeat_s",
     }
 )
 
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -153,7 +153,12 @@
     problems = list(find_missing_file(environment))
     if problems:
         raise InvalidSettings(problems)
-    return parse_boot(Path(environment[PATH_VARIABLE]).read_text("utf-8"))
+    path = environment[PATH_VARIABLE]
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidSettings([f"{path}: {error}"]) from error
+    return parse_boot(text)
 
 
 def find_missing_file(environment: Mapping[str, str]) -> Iterator[str]:
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -149,7 +149,17 @@
     copy_tokens_per_ms: float,
     place_ms: float,
 ) -> Placement:
-    """Return a placement with the expected time to the first event."""
+    """Return a placement with the expected time to the first event.
+
+    Parameters
+    ----------
+    candidate : Candidate
+    prompt : Prompt
+    is_cached : bool
+        Whether the upstream is believed to hold the shared part.
+    copy_tokens_per_ms, place_ms : float
+        As for ``rank_placements``.
+    """
     is_copied = not is_cached and is_copy_worthwhile(prompt, copy_tokens_per_ms)
     unread = prompt.own_tokens
     copy_ms = 0.0
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -1,6 +1,8 @@
 """Settings file of the platform."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
 from fescueflow.core import InvalidSettings
 from fescueflow.platform import PATH_VARIABLE, load_boot, parse_boot
@@ -23,6 +25,14 @@
         places = [problem.partition(":")[0] for problem in caught.exception.problems]
         self.assertEqual(places, ["zone", "listen_addrs.frontend", "bounds.ttl_max_s"])
 
+    def test_file_that_is_not_text(self):
+        # Read again while an instance runs, any other error would end its upkeep.
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "boot.toml")
+            path.write_bytes(b"\xff\xfe")
+            with self.assertRaises(InvalidSettings):
+                load_boot({PATH_VARIABLE: str(path)})
+
     def test_no_file(self):
         for environment in ({}, {PATH_VARIABLE: "/nowhere/boot.toml"}):
             with self.assertRaises(InvalidSettings):
