Forget reported loads at the rate at which requests end

Cause: in a fleet of 88 instances loads are seconds old. Prompts that waited at a holder have been read since, and requests still avoid it.

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -2,11 +2,11 @@
 
 import threading
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fescueflow.core import Clock, Overloaded, UpstreamId
 from fescueflow.gateway.beliefs import Beliefs
-from fescueflow.gateway.loads import LoadBook, Ticket, make_load
+from fescueflow.gateway.loads import LoadBook, Ticket
 from fescueflow.gateway.peers import REPORT_S, PeerTable
 from fescueflow.gateway.turns import count_turns
 from fescueflow.platform import BootSettings
@@ -57,8 +57,8 @@
         return {
             "upstream": str(self.upstream.id),
             "cost_ms": round(self.placement.cost_ms, 1),
-            "running": load.running,
-            "waiting_tokens": load.waiting_tokens,
+            "running": round(load.running, 1),
+            "waiting_tokens": round(load.waiting_tokens),
             "failure_rate": round(load.failure_rate, 2),
             "cached": self.placement.is_cached,
             "copied_from": str(self.source.id) if self.source else None,
@@ -184,7 +184,7 @@
             cached = self._holders.find(service, prompt.key, listed, now)
             sources = self._rank_sources(service, prompt, tried, cached)
             placements = rank_placements(
-                self._list_candidates(usable, now),
+                self._list_candidates(service, usable, now),
                 prompt,
                 cached,
                 self._boot.imbalance_factor,
@@ -202,13 +202,22 @@
             ticket = self._loads.start(upstream.id, service, chosen.unread_tokens)
             return Choice(chosen, ticket, source)
 
-    def _list_candidates(self, usable: list[Upstream], now: float) -> list[Candidate]:
+    def _list_candidates(
+        self, service: ServiceId, usable: list[Upstream], now: float
+    ) -> list[Candidate]:
         """Return upstreams with the load of the whole fleet there."""
         interval_s = REPORT_S * self._count_turns(now)
-        totals, own = self._loads.sum_loads(now, interval_s), self._loads.list_own()
+        names = [upstream.id for upstream in usable]
+        loads = self._loads.estimate_loads(names, service, now, interval_s)
         return [
-            Candidate(u, make_load(totals, own, u.id, self._health.get_rate(u.id)))
-            for u in usable
+            Candidate(
+                upstream,
+                replace(
+                    loads[upstream.id],
+                    failure_rate=self._health.get_rate(upstream.id),
+                ),
+            )
+            for upstream in usable
         ]
 
     def _admit(
--- a/src/fescueflow/gateway/loads.py
+++ b/src/fescueflow/gateway/loads.py
@@ -1,11 +1,11 @@
 """Work of the whole fleet at each upstream."""
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from fescueflow.core import InstanceId, UpstreamId
-from fescueflow.routing import ServiceId, UpstreamLoad
+from fescueflow.routing import LoadReport, ServiceId, UpstreamLoad, blend_reports
 
 # Loads of an instance that has not been heard for this long are dropped, in seconds;
 # longer in fleets whose instances report to each other by turns.
@@ -105,41 +105,48 @@
         with self._lock:
             return {n: (o.running, o.waiting_tokens) for n, o in self._own.items()}
 
-    def sum_loads(
-        self, now: float, interval_s: float = 0.0
-    ) -> dict[UpstreamId, tuple[int, int]]:
-        """Return running requests and waiting tokens of the whole fleet.
+    def estimate_loads(
+        self,
+        names: Sequence[UpstreamId],
+        service: ServiceId,
+        now: float,
+        interval_s: float = 0.0,
+    ) -> dict[UpstreamId, UpstreamLoad]:
+        """Return the expected load of the whole fleet at upstreams of a service.
 
         Parameters
         ----------
+        names : sequence of UpstreamId
+        service : ServiceId
         now : float
         interval_s : float, optional
             Time from one report of an instance to the next. Two of them may pass
             before its loads are dropped.
         """
         age_max_s = max(LOAD_AGE_MAX_S, 2 * interval_s)
-        totals = self.list_own()
+        own = self.list_own()
         with self._lock:
             for peer in list(self._peers):
                 if now - self._peers[peer].received_at > age_max_s:
                     del self._peers[peer]
-            for entry in self._peers.values():
-                for name, (running, tokens) in entry.loads.items():
-                    known = totals.get(name, (0, 0))
-                    totals[name] = (known[0] + running, known[1] + tokens)
-        return totals
-
-
-def make_load(
-    totals: Mapping[UpstreamId, tuple[int, int]],
-    own: Mapping[UpstreamId, tuple[int, int]],
-    upstream: UpstreamId,
-    failure_rate: float,
-) -> UpstreamLoad:
-    """Return the load of one upstream from all loads and the own ones."""
-    running, tokens = totals.get(upstream, (0, 0))
-    own_running, _ = own.get(upstream, (0, 0))
-    return UpstreamLoad(max(0, running), max(0, tokens), failure_rate, own_running)
-
-
-__all__ = ["LoadBook", "Ticket", "make_load"]
+            reports = [
+                LoadReport(max(0.0, now - entry.received_at), entry.loads)
+                for entry in self._peers.values()
+            ]
+        others = blend_reports(reports, names, self.get_hold_s(service))
+        return {
+            name: add_load(own.get(name, (0, 0)), running, tokens)
+            for name, (running, tokens) in others.items()
+        }
+
+
+def add_load(own: tuple[int, int], running: float, tokens: float) -> UpstreamLoad:
+    """Return the sum of the own load and that of others."""
+    return UpstreamLoad(
+        running=own[0] + running,
+        waiting_tokens=own[1] + tokens,
+        own_running=own[0],
+    )
+
+
+__all__ = ["LoadBook", "Ticket"]
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -40,6 +40,7 @@
     parse_prompt,
     rank_placements,
 )
+from fescueflow.routing.reports import LoadReport, blend_reports
 from fescueflow.routing.retries import AttemptEnd, RepeatBudget, may_repeat
 from fescueflow.routing.selection import choose_service, find_customer, find_route
 
@@ -55,6 +56,7 @@
     "EngineTraits",
     "HolderNews",
     "HolderTable",
+    "LoadReport",
     "NoRoute",
     "Placement",
     "Prediction",
@@ -72,6 +74,7 @@
     "UpstreamLoad",
     "UpstreamState",
     "Verdict",
+    "blend_reports",
     "choose_service",
     "estimate_cost_ms",
     "find_balanced",
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -54,15 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLoad:
-    """Work of the whole fleet at one upstream.
+    """Expected work of the whole fleet at one upstream.
 
     ``waiting_tokens`` counts prompt tokens of requests without a first event,
     ``failure_rate`` is the recent part of failed attempts, 0 to 1, and
     ``own_running`` the part of ``running`` that this instance has sent.
     """
 
-    running: int = 0
-    waiting_tokens: int = 0
+    running: float = 0.0
+    waiting_tokens: float = 0.0
     failure_rate: float = 0.0
     own_running: int = 0
 
@@ -184,7 +184,7 @@
         Mean time that a request holds a place of this service.
     """
     slots = max(1, candidate.upstream.slots)
-    ahead = max(0, candidate.load.running + 1 - slots)
+    ahead = max(0.0, candidate.load.running + 1 - slots)
     return ahead * place_ms / slots
 
 
