--- /dev/null
+++ b/tests/gateway/test_copies.py
@@ -0,0 +1,71 @@
+"""Copies of shared prompt parts between upstreams, over the whole path."""
+
+import unittest
+
+from tests.gateway.path_case import PathCase, make_table
+
+
+class CopyTest(PathCase):
+    """Guards against prompts that are read again though an upstream holds them."""
+
+    prompt = {"X-Prefix-Hash": "5c:10000,e4:100", "X-Token-Count": "10100,80"}
+
+    def setUp(self):
+        super().setUp()
+        engine = {
+            "slots": 8,
+            "kv_capacity": 690039,
+            "kv_token_bytes": 35136,
+            "link_mbps": 550000.0,
+        }
+        service = {"name": "engines", "max_connections": 100, "engine": engine}
+        self.store.put("op/config", make_table(2, services=[service]))
+        self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
+        self.wait_for(lambda: self.gateway.is_ready())
+
+    def find_holder(self):
+        """Return the index of the upstream that has read the prompt."""
+        return self.count_arrivals().index(1)
+
+    def test_part_is_copied_from_an_upstream_that_leaves(self):
+        holder = self.upstreams[self.find_holder()]
+        other = self.upstreams[1 - self.find_holder()]
+        entry = holder.make_entry(state="draining")
+        self.store.put(f"servers/{holder.name}", entry)
+
+        def is_moved():
+            self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
+            return bool(other.arrivals)
+
+        self.wait_for(is_moved)
+        self.assertEqual(other.arrivals[0][1]["Kv-Fetch"], holder.address)
+        self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
+        self.assertNotIn("Kv-Fetch", other.arrivals[-1][1])
+
+    def test_restarted_upstream_is_no_source(self):
+        holder = self.upstreams[self.find_holder()]
+        other = self.upstreams[1 - self.find_holder()]
+        self.store.put(f"servers/{holder.name}", holder.make_entry(born=2))
+        # The upstream has an empty cache; instances notice within half a second.
+        chooser = self.gateway._chooser
+        self.wait_for(lambda: not chooser._holders._parts["5c"].used_at)
+        self.store.put(
+            f"servers/{holder.name}", holder.make_entry(born=2, state="draining")
+        )
+
+        # A request before that would make it a holder again.
+        beliefs = self.gateway._beliefs
+        self.wait_for(lambda: len(beliefs.list_upstreams("engines", 0.0)) == 1)
+        self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
+        self.assertNotIn("Kv-Fetch", other.arrivals[0][1])
+
+    def test_caller_cannot_name_a_source(self):
+        sent = {**self.prompt, "Kv-Fetch": "127.0.0.1:9"}
+        self.assertEqual(self.call("/stream/1", headers=sent)[0], 200)
+        for upstream in self.upstreams:
+            for _, headers, _ in upstream.arrivals:
+                self.assertNotIn("Kv-Fetch", headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
