Log what the bound on imbalance was judged on

The log line of a placement told the estimated load only, so that old reports, a wrong mean and a placement that passes over the bound looked alike.

The line `placed` now has the mean, the limit, the requests of the instance itself and the mean age of the other instances' reports. Upstreams that tell their load in an answer are compared with the estimate: the counter load_estimates_total{error} and a line `upstream over the limit`. No decision changes.

Tests: tests.gateway.test_load_logs.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -15,10 +15,16 @@
     NOT_RUN,
     REFUSED_STATUSES,
     SEAL,
+    UPSTREAM_LOAD,
     Headers,
+    parse_upstream_load,
 )
 from fescueflow.routing import AttemptEnd
 
+# Difference of an estimated load that can't matter for imbalance, in requests: the
+# rules allow three above the multiple of the mean.
+ESTIMATE_NEAR = 3.0
+
 log = logbook.Logger("attempts")
 
 
@@ -73,6 +79,9 @@
         if status in REFUSED_STATUSES:
             # Callers would take the status for a promise that it did not run.
             raise ExchangeFailed(AttemptEnd.SERVER_ERROR, f"status {status}")
+        told = parse_upstream_load(exchange.get_header(UPSTREAM_LOAD))
+        if told is not None:
+            self._client.note_load(self, attempt_id, told)
 
     def iterate_parts(
         self, until: float, silence_s: float | None = None
@@ -169,6 +178,32 @@
             started_at=self._clock.monotonic(),
         )
 
+    def note_load(self, attempt: Attempt, attempt_id: str, told: int) -> None:
+        """Compare an upstream's count of its requests with what was expected.
+
+        Parameters
+        ----------
+        attempt : Attempt
+        attempt_id : str
+        told : int
+            Requests that run or wait there, this one included.
+        """
+        choice = attempt.choice
+        expected = choice.placement.candidate.load.running + 1
+        self._metrics.count("load_estimates", error=classify_error(told, expected))
+        if told > choice.bound.limit:
+            log.info(
+                "upstream over the limit",
+                extra={
+                    "id": attempt_id,
+                    "upstream": str(choice.upstream.id),
+                    "told": told,
+                    "expected": round(expected, 1),
+                    "mean_running": round(choice.bound.mean, 1),
+                    "running_limit": round(choice.bound.limit, 1),
+                },
+            )
+
     def note_finish(self, attempt: Attempt, connection: UpstreamConnection) -> None:
         """Note a complete answer."""
         kept, keep_alive_s = attempt.exchange.find_keep_alive()
@@ -196,4 +231,11 @@
             log.warning("upstream left out", extra={"upstream": str(upstream)})
 
 
+def classify_error(told: int, expected: float) -> str:
+    """Return whether an estimated load was low, high or near the true one."""
+    if abs(told - expected) <= ESTIMATE_NEAR:
+        return "near"
+    return "low" if told > expected else "high"
+
+
 __all__ = ["Attempt", "AttemptClient"]
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -11,6 +11,7 @@
 from fescueflow.gateway.turns import count_turns
 from fescueflow.platform import BootSettings
 from fescueflow.routing import (
+    BalanceBound,
     Candidate,
     ColdPace,
     HolderNews,
@@ -24,6 +25,7 @@
     UpstreamHealth,
     is_copy_worthwhile,
     judge,
+    measure_balance,
     rank_placements,
     select_in_time,
 )
@@ -39,12 +41,16 @@
 class Choice:
     """A placement and the ticket that counts the request there.
 
-    ``source`` is where the chosen upstream copies the shared part of the prompt from.
+    ``source`` is where the chosen upstream copies the shared part of the prompt from,
+    ``bound`` what the loads of the service were held against and ``report_age_s`` the
+    mean age of what other instances had reported.
     """
 
     placement: Placement
     ticket: Ticket
+    bound: BalanceBound
     source: Upstream | None = None
+    report_age_s: float | None = None
 
     @property
     def upstream(self) -> Upstream:
@@ -58,6 +64,12 @@
             "upstream": str(self.upstream.id),
             "cost_ms": round(self.placement.cost_ms, 1),
             "running": round(load.running, 1),
+            "own_running": load.own_running,
+            "mean_running": round(self.bound.mean, 1),
+            "running_limit": round(self.bound.limit, 1),
+            "report_age_ms": (
+                None if self.report_age_s is None else round(self.report_age_s * 1000)
+            ),
             "waiting_tokens": round(load.waiting_tokens),
             "failure_rate": round(load.failure_rate, 2),
             "cached": self.placement.is_cached,
@@ -183,13 +195,15 @@
                 raise Overloaded("no upstream takes work", retry_after_ms=RETURN_MS)
             cached = self._holders.find(service, prompt.key, listed, now)
             sources = self._rank_sources(service, prompt, tried, cached)
+            candidates = self._list_candidates(service, usable, now)
+            size = self._beliefs.count_upstreams(service)
             placements = rank_placements(
-                self._list_candidates(service, usable, now),
+                candidates,
                 prompt,
                 cached,
                 self._boot.imbalance_factor,
                 self._boot.zone,
-                self._beliefs.count_upstreams(service),
+                size,
                 self._get_copy_rate(service) if sources else 0.0,
                 self._loads.get_hold_s(service) * 1000,
             )
@@ -200,7 +214,9 @@
             source = sources[0] if sources and not is_held else None
             self._holders.note(service, prompt.key, upstream.id, listed, now)
             ticket = self._loads.start(upstream.id, service, chosen.unread_tokens)
-            return Choice(chosen, ticket, source)
+            bound = measure_balance(candidates, self._boot.imbalance_factor, size)
+            age_s = self._loads.get_report_age(now)
+            return Choice(chosen, ticket, bound, source, age_s)
 
     def _list_candidates(
         self, service: ServiceId, usable: list[Upstream], now: float
--- a/src/fescueflow/gateway/loads.py
+++ b/src/fescueflow/gateway/loads.py
@@ -105,6 +105,12 @@
         with self._lock:
             return {n: (o.running, o.waiting_tokens) for n, o in self._own.items()}
 
+    def get_report_age(self, now: float) -> float | None:
+        """Return the mean age of the reports in use, ``None`` if there are none."""
+        with self._lock:
+            ages = [now - entry.received_at for entry in self._peers.values()]
+        return sum(ages) / len(ages) if ages else None
+
     def estimate_loads(
         self,
         names: Sequence[UpstreamId],
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -30,6 +30,8 @@
 PRIORITY = "X-Request-Priority"
 # Address of an upstream from which another one copies what it holds of the prompt.
 COPY_FROM = "Kv-Fetch"
+# Requests that run and wait at the upstream of an answer, and its slots.
+UPSTREAM_LOAD = "X-Server-Load"
 
 MISDIRECTED_STATUS = 421
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -154,6 +156,26 @@
     return headers
 
 
+def parse_upstream_load(value: str | None) -> int | None:
+    """Return the requests that run or wait at an upstream by its own count.
+
+    Parameters
+    ----------
+    value : str or None
+        Header of an answer.
+
+    Returns
+    -------
+    int or None
+        ``None`` if the header is missing or malformed.
+    """
+    fields = (value or "").split(",")
+    if len(fields) != 3 or not all(field.strip().isdecimal() for field in fields):
+        return None
+    running, waiting, _ = map(int, fields)
+    return running + waiting
+
+
 def select_answer_headers(headers: Headers) -> Headers:
     """Return the headers of an upstream's answer that a caller gets."""
     return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
@@ -174,10 +196,12 @@
     "REFUSED_STATUSES",
     "RESOLVE_PATH",
     "SEAL",
+    "UPSTREAM_LOAD",
     "CallHeaders",
     "Headers",
     "make_directory_body",
     "make_upstream_headers",
+    "parse_upstream_load",
     "read_call_headers",
     "select_answer_headers",
 ]
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -29,6 +29,7 @@
 )
 from fescueflow.routing.placement import (
     PROMPT_TOKENS_PER_MS,
+    BalanceBound,
     Candidate,
     Placement,
     Prompt,
@@ -37,6 +38,7 @@
     find_balanced,
     find_holder,
     is_copy_worthwhile,
+    measure_balance,
     parse_prompt,
     rank_placements,
 )
@@ -48,6 +50,7 @@
     "PRIORITY_DEFAULT",
     "PROMPT_TOKENS_PER_MS",
     "AttemptEnd",
+    "BalanceBound",
     "CallerGone",
     "CallerLimits",
     "Candidate",
@@ -84,6 +87,7 @@
     "is_copy_worthwhile",
     "judge",
     "may_repeat",
+    "measure_balance",
     "parse_prompt",
     "predict",
     "rank_placements",
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -75,6 +75,14 @@
     load: UpstreamLoad
 
 
+@dataclass(frozen=True, slots=True)
+class BalanceBound:
+    """Mean of the requests running at a service's upstreams, and the most for one."""
+
+    mean: float
+    limit: float
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     """A candidate with the expected time to the first event, in milliseconds.
@@ -195,6 +203,27 @@
     return reading_ms + load.running * RUNNING_COST_MS + risk_ms
 
 
+def measure_balance(
+    candidates: Sequence[Candidate],
+    imbalance_factor: float,
+    service_size: int | None = None,
+) -> BalanceBound:
+    """Return the mean load and the load that no upstream is to exceed.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+    imbalance_factor : float
+    service_size : int, optional
+        As for ``find_balanced``.
+    """
+    total = sum(candidate.load.running for candidate in candidates)
+    mean = total / max(1, len(candidates), service_size or 0)
+    return BalanceBound(
+        mean, IMBALANCE_PART * imbalance_factor * mean + IMBALANCE_SLACK
+    )
+
+
 def find_balanced(
     candidates: Sequence[Candidate],
     imbalance_factor: float,
@@ -220,9 +249,8 @@
     the upstream with the smallest load, which they know from reports, they would
     overload it until the next report.
     """
+    bound = measure_balance(candidates, imbalance_factor, service_size).limit
     total = sum(candidate.load.running for candidate in candidates)
-    mean = total / max(1, len(candidates), service_size or 0)
-    bound = IMBALANCE_PART * imbalance_factor * mean + IMBALANCE_SLACK
     if total > bound * len(candidates):
         least = min(candidate.load.own_running for candidate in candidates)
         return [c for c in candidates if c.load.own_running == least]
@@ -276,6 +304,7 @@
 
 __all__ = [
     "PROMPT_TOKENS_PER_MS",
+    "BalanceBound",
     "Candidate",
     "Placement",
     "Prompt",
@@ -284,6 +313,7 @@
     "find_balanced",
     "find_holder",
     "is_copy_worthwhile",
+    "measure_balance",
     "parse_prompt",
     "rank_placements",
 ]
--- /dev/null
+++ b/tests/gateway/test_load_logs.py
@@ -0,0 +1,43 @@
+"""What logs and metrics tell of upstreams with too much load."""
+
+import unittest
+
+import logbook
+
+from fescueflow.gateway.attempts import classify_error
+from fescueflow.platform import parse_upstream_load
+from tests.gateway.path_case import PathCase
+
+
+class EstimateLogTest(PathCase):
+    """Guards against overload whose cause no log line tells."""
+
+    def test_upstream_that_tells_more_than_was_expected(self):
+        busy = [("X-Server-Load", "40,3,64")]
+        self.set_script(*[lambda h: h.send_sealed(200, b"answer", busy)] * 2)
+        with logbook.TestHandler() as handler:
+            with handler.applicationbound():
+                self.assertEqual(self.call("/safe/1")[0], 200)
+        records = {record.message: record.extra for record in handler.records}
+        placed, over = records["placed"], records["upstream over the limit"]
+        self.assertEqual(placed["mean_running"], 0.0)
+        self.assertEqual(placed["own_running"], 0)
+        self.assertIsNone(placed["report_age_ms"])
+        self.assertEqual((over["told"], over["expected"]), (43, 1))
+        self.assertEqual(over["running_limit"], placed["running_limit"])
+        _, page = self.get_page("directory", "/metrics")
+        self.assertIn(b'load_estimates_total{error="low"} 1', page)
+
+    def test_malformed_load_is_none(self):
+        for value in (None, "", "1,2", "1,x,3", "-1,2,3"):
+            self.assertIsNone(parse_upstream_load(value))
+        self.assertEqual(parse_upstream_load("3, 1, 8"), 4)
+
+    def test_error_of_an_estimate(self):
+        self.assertEqual(classify_error(9, 2.0), "low")
+        self.assertEqual(classify_error(1, 7.5), "high")
+        self.assertEqual(classify_error(5, 2.0), "near")
+
+
+if __name__ == "__main__":
+    unittest.main()
