--- /dev/null
+++ b/tests/gateway/fleet.py
@@ -0,0 +1,211 @@
+"""A fleet's placement on a clock of its own, without input or output.
+
+Instances are the product's own choosers and load books. Requests, upstreams and the
+datagrams between instances are events in a queue.
+"""
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, replace
+
+from fescueflow.core import InstanceId, SeededRandomness, UpstreamId, ZoneId
+from fescueflow.gateway.beliefs import Beliefs
+from fescueflow.gateway.choice import Chooser
+from fescueflow.gateway.loads import LoadBook
+from fescueflow.gateway.peers import (
+    REPORT_S,
+    PeerReport,
+    PeerTable,
+    decode_report,
+    encode_report,
+)
+from fescueflow.gateway.turns import ReceiverTurns
+from fescueflow.routing import Prompt
+from tests.fakes import FakeClock
+from tests.gateway.builders import make_boot, make_peer
+from tests.routing.builders import ENGINES, make_table, make_upstream
+
+ZONES = ("a", "b", "c")
+# Way of a datagram between instances, and of an answer's head, in seconds.
+WAY_S = 0.005
+# Tokens that an upstream reads in a second, as the sheets of the sites have it.
+TOKENS_PER_S = 112_000
+WINDOW_S = 5.0
+REMAINING_S = 12.0
+
+
+@dataclass(frozen=True)
+class Load:
+    """What callers ask for.
+
+    Requests run for 0.7 to 1.3 times ``hold_s``. From ``hot_at`` on, ``hot_share`` of
+    them are about one subject.
+    """
+
+    instances: int = 88
+    upstreams: int = 30
+    per_s: float = 180.0
+    hold_s: float = 1.2
+    subjects: int = 600
+    hot_share: float = 0.0
+    hot_at: float = 2.0
+    shared_tokens: int = 10_500
+    is_load_told: bool = True
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request at an upstream: its load and the service's mean just before."""
+
+    at: float
+    upstream: UpstreamId
+    load: int
+    mean: float
+    is_read: bool
+
+
+class Instance:
+    """The parts of one instance that place requests."""
+
+    def __init__(self, number, peers, upstreams, clock, seed):
+        self.name = InstanceId(f"edge-{number}")
+        self.clock = clock
+        zone = ZoneId(ZONES[number % len(ZONES)])
+        self.beliefs = Beliefs()
+        self.beliefs.accept_table(make_table())
+        self.beliefs.replace_upstreams(upstreams, clock.monotonic())
+        self.loads = LoadBook()
+        self.peers = PeerTable(make_peer(self.name, zone, clock.monotonic()))
+        for peer in peers:
+            self.peers.merge(make_peer(peer, heard_at=clock.monotonic()))
+        self.chooser = Chooser(
+            boot=replace(make_boot(), instance=self.name, zone=zone),
+            beliefs=self.beliefs,
+            loads=self.loads,
+            peers=self.peers,
+            clock=clock,
+        )
+        self.turns = ReceiverTurns(SeededRandomness(seed + number))
+        self.hosts = sorted(peer for peer in peers if peer != self.name)
+        self.sent_bytes = 0
+
+    def report(self):
+        """Return the receivers and the datagram of the next report."""
+        now = self.clock.monotonic()
+        own = replace(self.peers.get_own(), heard_at=now)
+        report = PeerReport([own], self.loads.list_own(), self.chooser.take_news())
+        data = encode_report(report, now)
+        receivers = self.turns.take(self.hosts)
+        self.sent_bytes += len(data) * len(receivers)
+        return receivers, data
+
+    def take(self, data):
+        """Take over a report."""
+        now = self.clock.monotonic()
+        report = decode_report(data, now)
+        self.peers.merge(replace(report.records[0], sequence=int(now * 1e6)))
+        self.loads.set_peer(report.records[0].instance, report.loads, now)
+        self.chooser.merge_news(report.news)
+
+
+class FleetReplay:
+    """Plays a load and records each arrival at an upstream."""
+
+    def __init__(self, load, seed):
+        self.load = load
+        self.random = random.Random(seed)
+        self.clock = FakeClock()
+        self.began = self.clock.monotonic()
+        self.running = {
+            UpstreamId(f"u{n}"): 0 for n in range(load.upstreams)
+        }
+        self.held = {name: set() for name in self.running}
+        self.arrivals = []
+        self._events = []
+        self._order = itertools.count()
+        upstreams = [
+            make_upstream(name, ZONES[n % len(ZONES)], slots=64)
+            for n, name in enumerate(self.running)
+        ]
+        names = [InstanceId(f"edge-{n}") for n in range(load.instances)]
+        self.instances = {
+            name: Instance(n, names, upstreams, self.clock, seed)
+            for n, name in enumerate(names)
+        }
+        for instance in self.instances.values():
+            self._plan(self.random.uniform(0, REPORT_S), self._report, instance)
+        self._plan(0.0, self._request)
+
+    @property
+    def now(self):
+        """Seconds since the start."""
+        return self.clock.monotonic() - self.began
+
+    def run(self, seconds):
+        """Play the load for some seconds."""
+        while self._events[0][0] < seconds:
+            at, _, work, arguments = heapq.heappop(self._events)
+            self.clock.advance(max(0.0, at - self.now))
+            work(*arguments)
+        return self
+
+    def find_worst_window(self, factor=2.0, slack=3.0):
+        """Return the largest part of requests over the limit in any five seconds."""
+        worst = 0.0
+        over = [a.load > factor * a.mean + slack for a in self.arrivals]
+        first = 0
+        for last, arrival in enumerate(self.arrivals):
+            while self.arrivals[first].at < arrival.at - WINDOW_S:
+                first += 1
+            if arrival.at >= WINDOW_S and last > first:
+                part = sum(over[first : last + 1]) / (last + 1 - first)
+                worst = max(worst, part)
+        return worst
+
+    def count_reads(self):
+        """Return how often an upstream read or copied a shared part."""
+        return sum(arrival.is_read for arrival in self.arrivals)
+
+    def _plan(self, delay_s, work, *arguments):
+        entry = (self.now + delay_s, next(self._order), work, arguments)
+        heapq.heappush(self._events, entry)
+
+    def _report(self, instance):
+        receivers, data = instance.report()
+        for receiver in receivers:
+            self._plan(WAY_S, self.instances[receiver].take, data)
+        self._plan(REPORT_S, self._report, instance)
+
+    def _request(self):
+        load = self.load
+        self._plan(self.random.expovariate(load.per_s), self._request)
+        is_hot = self.now >= load.hot_at and self.random.random() < load.hot_share
+        key = "hot" if is_hot else f"k{self.random.randrange(load.subjects)}"
+        instance = self.random.choice(list(self.instances.values()))
+        prompt = Prompt(key, load.shared_tokens, 1_000, 400)
+        choice = instance.chooser.choose(ENGINES, prompt, set(), REMAINING_S)
+        name = choice.upstream.id
+        is_read = key not in self.held[name]
+        mean = sum(self.running.values()) / load.upstreams
+        self.arrivals.append(
+            Arrival(self.now, name, self.running[name], mean, is_read)
+        )
+        self.held[name].add(key)
+        self.running[name] += 1
+        unread = 1_000 + (load.shared_tokens if is_read else 0)
+        hold_s = load.hold_s * self.random.uniform(0.7, 1.3)
+        self._plan(unread / TOKENS_PER_S + WAY_S, self._begin, instance, choice)
+        self._plan(hold_s, self._finish, instance, choice, hold_s)
+
+    def _begin(self, instance, choice):
+        choice.ticket.note_first()
+
+    def _finish(self, instance, choice, hold_s):
+        self.running[choice.upstream.id] -= 1
+        choice.ticket.end()
+        instance.loads.note_hold(ENGINES, hold_s)
+        instance.chooser.note_success(choice.upstream.id)
+
+
+__all__ = ["FleetReplay", "Load"]
