Bound answers of upstreams that send bytes without end

Causes: a limit was looked at only while no byte was ready; http.client waits anew for each byte of a head and skips interim responses without end; an event that never ends was collected without a bound; and the reader of the head kept the connection open after a failure until the thread served another request.

Change: the head is collected within 64 KiB and within the request's time by HeadReader, which does not hold the connection; waits look at the time and the caller although bytes are ready, and read what is ready for 0.2 s after a limit, so that an answer that is here is delivered late; an event ends within 1 MiB.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -68,7 +68,7 @@
         ExchangeFailed
         """
         exchange = self.exchange
-        exchange.read_head(until, attempt_id)
+        exchange.read_head(until, attempt_id, self._until)
         status = exchange.status
         if status == MISDIRECTED_STATUS:
             raise ExchangeFailed(AttemptEnd.MISDIRECTED, "another server answers")
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -7,7 +7,7 @@
 
 from fescueflow.core import Clock, FescueflowError, InvalidRequest
 from fescueflow.gateway.connections import UpstreamConnection
-from fescueflow.http1 import ChunkDecoder
+from fescueflow.http1 import ChunkDecoder, HeadReader
 from fescueflow.platform import ATTEMPT_ID, Headers
 from fescueflow.routing import AttemptEnd, CallerGone
 
@@ -15,8 +15,13 @@
 # How often a wait looks whether the caller is still there, in seconds; work for a
 # caller that left must end within half a second.
 CALLER_CHECK_S = 0.2
-# Longest wait for the rest of a head whose first bytes are here, in seconds.
+# Time for the rest of a head whose first bytes are here, in seconds: a lost packet is
+# sent again sooner.
 HEAD_REST_S = 1.0
+# How long bytes that are ready are still read once a limit was found to be over, in
+# seconds, so that an answer that is here is delivered; less than the quarter of a
+# second for which a request may be held beyond its route's time.
+READY_S = 0.2
 KEEP_ALIVE = re.compile(r"timeout=(\d+)")
 BODY_BYTES_MAX = 16 << 20
 
@@ -92,6 +97,11 @@
         self._socket = connection.socket
         self._poll = select.poll()
         self._poll.register(self._socket, select.POLLIN)
+        self._caller_checked_at = clock.monotonic()
+        # When a limit was found to be over while bytes still came.
+        self._overrun_at: float | None = None
+        # Bytes of the body that came with the head.
+        self._early = b""
         self._sent_all = False
         self._response: http.client.HTTPResponse | None = None
         self._decoder: ChunkDecoder | None = None
@@ -125,22 +135,25 @@
             self._check_time(until)
         self._sent_all = True
 
-    def read_head(self, until: float, attempt_id: str) -> None:
+    def read_head(self, until: float, attempt_id: str, latest: float) -> None:
         """Read status and headers, and check that they answer this request.
 
+        Parameters
+        ----------
+        until : float
+            Limit for the first byte.
+        attempt_id : str
+        latest : float
+            Limit for the whole head.
+
         Raises
         ------
         ExchangeFailed
         CallerGone
         """
         self._wait(until)
-        self._socket.settimeout(HEAD_REST_S)
-        response = http.client.HTTPResponse(self._socket)
-        self._response = response
-        try:
-            response.begin()
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            raise ExchangeFailed(AttemptEnd.BROKEN, repr(error)) from error
+        rest_until = min(latest, max(until, self._clock.monotonic() + HEAD_REST_S))
+        response = self._response = self._collect_head(rest_until)
         self.status = response.status
         self.headers = response.getheaders()
         echo = response.getheader(ATTEMPT_ID)
@@ -169,23 +182,14 @@
         """
         if self._response is None:
             raise ExchangeFailed(AttemptEnd.BROKEN, "no head")
-        self._socket.settimeout(0.0)
-        # Without waiting this takes what the reader of the head has buffered; its
-        # end and an empty buffer look alike and are told apart by the next read.
-        data = self._response.fp.read1(READ_BYTES) if self._response.fp else b""
-        if data:
-            yield from self._decode(data)
+        early, self._early = self._early, b""
+        if early:
+            yield from self._decode(early)
         while not self.is_complete:
             limit = until
             if silence_s is not None:
                 limit = min(until, self._clock.monotonic() + silence_s)
-            self._wait(limit)
-            try:
-                data = self._socket.recv(READ_BYTES)
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                raise ExchangeFailed(AttemptEnd.BROKEN, repr(error)) from error
+            data = self._receive(limit)
             if data:
                 yield from self._decode(data)
             elif self._decoder is None and self._left is None:
@@ -218,6 +222,32 @@
         found = KEEP_ALIVE.search(self.get_header("Keep-Alive") or "")
         return kept, float(found[1]) if found else None
 
+    def _collect_head(self, until: float) -> http.client.HTTPResponse:
+        reader = HeadReader()
+        while True:
+            data = self._receive(until)
+            if not data:
+                raise ExchangeFailed(AttemptEnd.BROKEN, "the head is cut")
+            try:
+                response = reader.add(data)
+            except (http.client.HTTPException, ValueError) as error:
+                raise ExchangeFailed(AttemptEnd.BROKEN, repr(error)) from error
+            if response is not None:
+                self._early = reader.rest
+                return response
+
+    def _receive(self, until: float) -> bytes:
+        """Wait for bytes and return them; empty at the end of the connection."""
+        self._socket.settimeout(0.0)
+        while True:
+            self._wait(until)
+            try:
+                return self._socket.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise ExchangeFailed(AttemptEnd.BROKEN, repr(error)) from error
+
     def _decode(self, data: bytes) -> Iterator[bytes]:
         if self._decoder is not None:
             try:
@@ -240,16 +270,39 @@
             yield content
 
     def _wait(self, until: float) -> None:
+        """Wait for bytes until a time; those that never end are waited for no longer.
+
+        Raises
+        ------
+        ExchangeFailed
+        CallerGone
+        """
         while True:
-            left_s = until - self._clock.monotonic()
+            now = self._clock.monotonic()
+            # An upstream that always has bytes ready must not keep this from being
+            # noticed.
+            if now - self._caller_checked_at >= CALLER_CHECK_S:
+                self._check_caller(now)
+            left_s = until - now
+            if left_s > 0:
+                self._overrun_at = None
+            elif self._overrun_at is None:
+                self._overrun_at = now
             if self._poll.poll(max(0.0, min(CALLER_CHECK_S, left_s)) * 1000):
+                if self._overrun_at is not None and now - self._overrun_at >= READY_S:
+                    raise ExchangeFailed(AttemptEnd.BROKEN, "no end in time")
                 return
             self._check_time(until)
 
-    def _check_time(self, until: float) -> None:
+    def _check_caller(self, now: float) -> None:
+        self._caller_checked_at = now
         if self._is_caller_gone():
             raise CallerGone("the caller closed its connection")
-        if self._clock.monotonic() >= until:
+
+    def _check_time(self, until: float) -> None:
+        now = self._clock.monotonic()
+        self._check_caller(now)
+        if now >= until:
             raise ExchangeFailed(AttemptEnd.SILENT, "no byte in time")
 
 
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -5,8 +5,12 @@
 from dataclasses import dataclass
 
 from fescueflow.core import Clock
+from fescueflow.gateway.exchange import ExchangeFailed
+from fescueflow.routing import AttemptEnd
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Bytes of an event that has not ended yet. Events of the sheets hold a few tokens.
+EVENT_BYTES_MAX = 1 << 20
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
 
@@ -28,12 +32,20 @@
         self._pending = b""
 
     def add(self, data: bytes) -> bytes:
-        """Return the events that are whole now."""
+        """Return the events that are whole now.
+
+        Raises
+        ------
+        ExchangeFailed
+            If an event does not end.
+        """
         self._pending += data
         end = 0
         for found in EVENT_END.finditer(self._pending):
             end = found.end()
         whole, self._pending = self._pending[:end], self._pending[end:]
+        if len(self._pending) > EVENT_BYTES_MAX:
+            raise ExchangeFailed(AttemptEnd.BROKEN, "an event is too large")
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_id = ids[-1].decode("latin-1").strip()
--- a/src/fescueflow/http1/__init__.py
+++ b/src/fescueflow/http1/__init__.py
@@ -2,5 +2,6 @@
 
 from fescueflow.http1.channels import DirectChannel
 from fescueflow.http1.chunks import ChunkDecoder
+from fescueflow.http1.heads import HeadReader
 
-__all__ = ["ChunkDecoder", "DirectChannel"]
+__all__ = ["ChunkDecoder", "DirectChannel", "HeadReader"]
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -117,9 +117,7 @@
         self.random = random.Random(seed)
         self.clock = FakeClock()
         self.began = self.clock.monotonic()
-        self.running = {
-            UpstreamId(f"u{n}"): 0 for n in range(load.upstreams)
-        }
+        self.running = {UpstreamId(f"u{n}"): 0 for n in range(load.upstreams)}
         self.held = {name: set() for name in self.running}
         self.arrivals = []
         self._events = []
@@ -188,9 +186,7 @@
         name = choice.upstream.id
         is_read = key not in self.held[name]
         mean = sum(self.running.values()) / load.upstreams
-        self.arrivals.append(
-            Arrival(self.now, name, self.running[name], mean, is_read)
-        )
+        self.arrivals.append(Arrival(self.now, name, self.running[name], mean, is_read))
         self.held[name].add(key)
         self.running[name] += 1
         unread = 1_000 + (load.shared_tokens if is_read else 0)
--- /dev/null
+++ b/tests/gateway/test_endless_answers.py
@@ -0,0 +1,178 @@
+"""Upstreams in trouble that send bytes without end, in a head or a body."""
+
+import socket
+import time
+import tracemalloc
+import unittest
+
+from fescueflow.gateway.connections import UpstreamConnection
+from fescueflow.gateway.exchange import Exchange, ExchangeFailed
+from tests.fakes import FakeClock
+from tests.gateway.path_case import PathCase
+from tests.gateway.standins import make_event
+
+# The caller's deadline, and a generous bound for an answer that is due by then.
+DEADLINE_MS = 1500
+ANSWER_S = 8.0
+# Endless answers write this fast: faster than they are read, or a byte at a time.
+BLOCK = 16384
+DRIP_S = 0.05
+MEMORY_BYTES_MAX = 40 << 20
+
+
+def flood(handler, data):
+    """Send data again and again until the connection is closed."""
+    pause_s = 0.0 if len(data) >= BLOCK else DRIP_S
+    try:
+        while True:
+            handler.wfile.write(data)
+            time.sleep(pause_s)
+    except OSError:
+        handler.cancelled.set()
+        handler.close_connection = True
+
+
+def send_head(handler, *headers):
+    """Send the head of an answer whose body the script writes itself."""
+    handler.send_response(200)
+    for name, value in [*handler.make_seal(), *headers]:
+        handler.send_header(name, value)
+    handler.end_headers()
+
+
+def flood_interim(handler):
+    flood(handler, b"HTTP/1.1 100 Continue\r\n\r\n" * (BLOCK // 25 + 1))
+
+
+def drip_head(handler):
+    handler.wfile.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
+    flood(handler, b"x")
+
+
+def flood_head(handler):
+    flood(handler, b"x" * BLOCK)
+
+
+def flood_body(handler):
+    send_head(handler)
+    flood(handler, b"x" * BLOCK)
+
+
+def drip_body(handler):
+    send_head(handler)
+    flood(handler, b"x")
+
+
+def flood_chunks(handler):
+    send_head(handler, ("Transfer-Encoding", "chunked"))
+    flood(handler, b"%x\r\n%s\r\n" % (BLOCK, b"x" * BLOCK))
+
+
+def flood_events(handler):
+    send_head(handler, ("Transfer-Encoding", "chunked"))
+    event = make_event(1) * (BLOCK // len(make_event(1)) + 1)
+    flood(handler, b"%x\r\n%s\r\n" % (len(event), event))
+
+
+class EndlessAnswerTest(PathCase):
+    """Guards against callers, threads and memory held by an answer without end."""
+
+    def ask(self, target):
+        """Return the status of a request, or 0 for an answer that is cut."""
+        began = time.monotonic()
+        headers = {"X-Deadline-Ms": str(DEADLINE_MS)}
+        try:
+            status, _, _ = self.call(target, headers=headers)
+        except OSError:
+            status = 0
+        self.assertLess(time.monotonic() - began, ANSWER_S)
+        return status
+
+    def check_fails(self, script, target="/once/1"):
+        """Check that the caller gets no success and the upstream is let go."""
+        self.set_script(script, script)
+        self.assertIn(self.ask(target), {0, 502, 504})
+        self.assertTrue(
+            any(upstream.cancelled.wait(ANSWER_S) for upstream in self.upstreams)
+        )
+
+    def test_interim_responses(self):
+        self.check_fails(flood_interim)
+
+    def test_slow_head(self):
+        self.check_fails(drip_head)
+
+    def test_head_that_is_no_answer(self):
+        self.check_fails(flood_head)
+
+    def test_body_without_length(self):
+        self.check_fails(flood_body)
+
+    def test_slow_body(self):
+        self.check_fails(drip_body)
+
+    def test_chunks(self):
+        self.check_fails(flood_chunks)
+
+    def test_stream_without_an_event(self):
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.check_fails(flood_chunks, "/single/1")
+        self.assertLess(tracemalloc.get_traced_memory()[1], MEMORY_BYTES_MAX)
+
+
+class ElsewhereTest(PathCase):
+    """Guards against a request that waits for an endless answer while it may move."""
+
+    def check_moves(self, script, target):
+        self.upstreams[0].script = script
+        for _ in range(4):
+            began = time.monotonic()
+            self.assertEqual(self.call(target)[0], 200)
+            self.assertLess(time.monotonic() - began, ANSWER_S)
+
+    def test_interim_responses(self):
+        self.check_moves(flood_interim, "/safe/1")
+
+    def test_slow_head(self):
+        self.check_moves(drip_head, "/safe/1")
+
+    def test_stream_without_an_event(self):
+        self.check_moves(flood_chunks, "/stream/1")
+
+
+class LateAnswerTest(unittest.TestCase):
+    """Guards against ready answers that are thrown away, and endless ones read on."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        ours, self.upstream = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(self.upstream.close)
+        connection = UpstreamConnection(ours, "127.0.0.1:1")
+        self.exchange = Exchange(connection, self.clock, lambda: False)
+        self.until = self.clock.monotonic() + 1.0
+
+    def test_answer_that_became_ready_while_the_instance_was_frozen(self):
+        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 6\r\n\r\n"
+        self.upstream.sendall(head + b"ans")
+        self.exchange.read_head(self.until, "a1", self.until)
+        self.upstream.sendall(b"wer")
+        self.clock.advance(5.0)
+        self.assertEqual(self.exchange.read_body(self.until), b"answer")
+
+    def test_bytes_that_go_on_after_the_limit(self):
+        self.upstream.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+        self.exchange.read_head(self.until, "a1", self.until)
+        read = 0
+        with self.assertRaisesRegex(ExchangeFailed, "no end in time"):
+            self.upstream.sendall(b"x")
+            for part in self.exchange.iterate_parts(self.until):
+                read += len(part)
+                self.clock.advance(0.05)
+                self.upstream.sendall(b"x")
+        self.assertLess(read, 30)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/http1/test_heads.py
@@ -0,0 +1,56 @@
+"""Heads of responses from parts of any size."""
+
+import http.client
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescueflow.http1 import HeadReader
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 4\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+
+
+class HeadReaderTest(unittest.TestCase):
+    """Guards against heads that are taken apart wrongly, or never end."""
+
+    @given(st.lists(st.integers(1, 40), min_size=1), st.integers(0, 2))
+    def test_parts_of_any_size(self, sizes, interims):
+        data, reader, response = INTERIM * interims + HEAD + b"body", HeadReader(), None
+        start = 0
+        while response is None:
+            size = sizes[start % len(sizes)]
+            response = reader.add(data[start : start + size])
+            start += size
+        self.assertEqual((response.status, response.length), (200, 4))
+        self.assertEqual(response.getheader("X-One"), "1")
+        self.assertTrue((reader.rest + data[start:]).endswith(b"body"))
+        self.assertEqual(reader.rest + data[start:], b"body")
+
+    def test_bytes_that_are_no_head(self):
+        for data in (b"garbage", b"HTTQ", b"HTTP/1.1 abc\r\n\r\n", b"\r\n\r\n"):
+            with self.assertRaises(http.client.HTTPException):
+                HeadReader().add(data)
+
+    def test_head_without_end(self):
+        reader = HeadReader()
+        reader.add(b"HTTP/1.1 200 OK\r\n")
+        with self.assertRaises(http.client.LineTooLong):
+            for _ in range(100):
+                reader.add(b"X: " + b"y" * 1000 + b"\r\n")
+
+    def test_interim_responses_without_end(self):
+        reader = HeadReader()
+        with self.assertRaises(http.client.LineTooLong):
+            while True:
+                self.assertIsNone(reader.add(INTERIM))
+
+    def test_long_body_that_came_along_is_no_long_head(self):
+        reader = HeadReader()
+        self.assertEqual(reader.add(HEAD + b"x" * 100_000).status, 200)
+        self.assertEqual(len(reader.rest), 100_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
