Bound heads and load reports without end on the product's own interface

Cause: http.client and the reader of short answers wait anew for each byte.

Change: the reader with a total time, which the platform's client had, moves to http1 and serves all three.

--- a/src/fescueflow/admission/answers.py
+++ b/src/fescueflow/admission/answers.py
@@ -4,9 +4,10 @@
 which takes more processor time than the rest of a load report.
 """
 
-import socket
 from dataclasses import dataclass
 
+from fescueflow.http1 import TimedConnection
+
 HEAD_BYTES_MAX = 16_384
 RECEIVE_BYTES = 16_384
 HEAD_END = b"\r\n\r\n"
@@ -31,10 +32,10 @@
 
     Parameters
     ----------
-    connection : socket
+    connection : TimedConnection
     """
 
-    def __init__(self, connection: socket.socket) -> None:
+    def __init__(self, connection: TimedConnection) -> None:
         self._connection = connection
         self._buffer = b""
 
@@ -120,7 +121,7 @@
     return body
 
 
-def read_answer(connection: socket.socket, body_max: int) -> ShortAnswer:
+def read_answer(connection: TimedConnection, body_max: int) -> ShortAnswer:
     """Return the answer to the GET request that was sent on a connection.
 
     Raises
--- a/src/fescueflow/admission/reader.py
+++ b/src/fescueflow/admission/reader.py
@@ -6,6 +6,7 @@
 from fescueflow.admission.answers import MalformedAnswer, read_answer
 from fescueflow.admission.slots import LoadEvent, LoadReader, LoadReport
 from fescueflow.core import Clock, PlatformUnavailable
+from fescueflow.http1 import TimedConnection
 from fescueflow.platform import ListedUpstream
 from fescueflow.transport import ConnectionPool, Network
 
@@ -63,7 +64,13 @@
         try:
             opened.settimeout(self._timeout_s)
             opened.sendall(f"{request}\r\nAccept-Encoding: identity\r\n\r\n".encode())
-            answer = read_answer(opened, REPORT_MAX_BYTES)
+            timed = TimedConnection(
+                opened,
+                asked_at + self._timeout_s,
+                self._timeout_s,
+                self._clock.monotonic,
+            )
+            answer = read_answer(timed, REPORT_MAX_BYTES)
             reusable = answer.reusable
             if answer.status != 200:
                 raise PlatformUnavailable(f"load report: status {answer.status}")
--- a/src/fescueflow/delivery/exchange.py
+++ b/src/fescueflow/delivery/exchange.py
@@ -8,7 +8,7 @@
 
 from fescueflow.core import Clock, FescueflowError, InvalidRequest
 from fescueflow.delivery.calls import Headers
-from fescueflow.http1 import ChunkDecoder
+from fescueflow.http1 import ChunkDecoder, TimedConnection
 
 READ_BYTES = 65536
 BODY_BYTES_MAX = 16 << 20
@@ -121,9 +121,17 @@
         """Read status and headers, and check that they answer this request."""
         with self._map_failures():
             self._limit_wait()
-            response = http.client.HTTPResponse(self._socket, method=self._method)
+            # An upstream in trouble may send a head without end, byte by byte.
+            timed = TimedConnection(
+                self._socket, self._deadline, self._silence_s, self._clock.monotonic
+            )
+            response = http.client.HTTPResponse(
+                timed,  # type: ignore[arg-type]
+                method=self._method,
+            )
             self._response = response
             response.begin()
+        self._wait_s = None
         self.status = response.status
         self.headers = response.getheaders()
         echo = response.getheader("X-Request-Id")
@@ -226,6 +234,8 @@
                 # head's reader and does not fill it again.
                 data = response.fp.read1(READ_BYTES)
                 self._is_buffer_empty = True
+                # The reader of the head sets limits of its own.
+                self._wait_s = None
             if content := self._decode(data):
                 return content
         return None
--- a/src/fescueflow/http1/__init__.py
+++ b/src/fescueflow/http1/__init__.py
@@ -3,5 +3,6 @@
 from fescueflow.http1.channels import DirectChannel
 from fescueflow.http1.chunks import ChunkDecoder
 from fescueflow.http1.heads import HeadReader
+from fescueflow.http1.timed import TimedConnection
 
-__all__ = ["ChunkDecoder", "DirectChannel", "HeadReader"]
+__all__ = ["ChunkDecoder", "DirectChannel", "HeadReader", "TimedConnection"]
--- a/src/fescueflow/platform/http.py
+++ b/src/fescueflow/platform/http.py
@@ -1,16 +1,15 @@
 """Bounded HTTP reads from the platform."""
 
 import http.client
-import io
 import socket
 import time
 import zlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
 from urllib.parse import urlsplit
 
 from fescueflow.core import PlatformUnavailable
+from fescueflow.http1 import TimedConnection
 from fescueflow.platform.records import MalformedAnswer
 
 READ_BYTES = 1 << 16
@@ -44,50 +43,6 @@
     body: bytes
 
 
-class TimedStream(io.RawIOBase):
-    """Bytes of a socket, each read limited by silence and total time."""
-
-    def __init__(self, connection: socket.socket, limits: Limits) -> None:
-        self._connection = connection
-        self._silence_s = limits.silence_s
-        self._ends_at = time.monotonic() + limits.total_s
-
-    def readable(self) -> bool:
-        """Return True."""
-        return True
-
-    def readinto(self, buffer: Any) -> int:
-        """Read up to the size of the buffer."""
-        left_s = self._ends_at - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("answer exceeded its time limit")
-        self._connection.settimeout(min(left_s, self._silence_s))
-        return self._connection.recv_into(buffer)
-
-
-class TimedConnection:
-    """The part of a socket that ``http.client`` uses, with time limits.
-
-    Notes
-    -----
-    ``http.client`` closes its socket as soon as it has read a head that ends the
-    connection, while the body is still to be read; whoever opened the connection
-    closes it.
-    """
-
-    def __init__(self, connection: socket.socket, limits: Limits) -> None:
-        self._connection = connection
-        self._limits = limits
-        self.sendall = connection.sendall
-
-    def close(self) -> None:
-        """Leave the connection open for the rest of the answer."""
-
-    def makefile(self, mode: str) -> io.BufferedReader:
-        """Return a reader for the answer."""
-        return io.BufferedReader(TimedStream(self._connection, self._limits))
-
-
 def connect_directly(address: str, timeout_s: float) -> socket.socket:
     """Open a TCP connection to ``ip:port``."""
     host, _, port = address.rpartition(":")
@@ -128,7 +83,9 @@
     try:
         opened.settimeout(limits.silence_s)
         exchange = http.client.HTTPConnection(host, parts.port or 80)
-        exchange.sock = TimedConnection(opened, limits)
+        exchange.sock = TimedConnection(
+            opened, time.monotonic() + limits.total_s, limits.silence_s
+        )
         exchange.request(
             "GET", target, headers={"Connection": "close", **(headers or {})}
         )
