--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -24,17 +24,9 @@
 from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.loads import LoadBook
 from fescueflow.gateway.logs import log_to_stdout
-from fescueflow.gateway.peers import (
-    COUNT_S,
-    PeerLink,
-    PeerRecord,
-    PeerReport,
-    PeerTable,
-    decode_report,
-    encode_report,
-)
+from fescueflow.gateway.peers import PeerLink, PeerRecord, PeerTable
+from fescueflow.gateway.reporting import Reporter
 from fescueflow.gateway.server import CALLER_THREADS, PAGE_THREADS, GatewayServer
-from fescueflow.gateway.turns import is_full_report
 from fescueflow.gateway.watching import (
     SILENCE_S,
     OperatorFollower,
@@ -103,8 +95,6 @@
         self._metrics = Metrics()
         self._leaving = threading.Event()
         self._stopped = threading.Event()
-        # Whether the next report tells a newcomer of all instances.
-        self._has_newcomer = False
         self._beliefs = Beliefs()
         self._loads = LoadBook()
         self._pool = ConnectionPool(clock)
@@ -116,12 +106,19 @@
             peers=self._peers,
             clock=clock,
         )
+        self._reporter = Reporter(
+            peers=self._peers,
+            loads=self._loads,
+            chooser=self._chooser,
+            clock=clock,
+            is_serving=self.is_ready,
+        )
         self._link = PeerLink(
             table=self._peers,
             seeds=boot.seed_hosts,
             address=(boot.host, boot.peer_port),
-            make_report=self._make_report,
-            on_report=self._take_report,
+            make_report=self._reporter.make_report,
+            on_report=self._reporter.take_report,
             clock=clock,
             randomness=randomness,
         )
@@ -153,7 +150,7 @@
         began = self._clock.monotonic()
         log.info("leaving")
         self._leaving.set()
-        self._update_own()
+        self._reporter.update_own()
         self._link.send_now()
         grace_s = self._boot.grace_s
         self._clock.wait(self._stopped, grace_s * LISTEN_PART)
@@ -225,46 +222,6 @@
             is_leaving=lambda: False,
         )
 
-    def _update_own(self) -> None:
-        own = self._peers.get_own()
-        self._peers.set_own(
-            replace(
-                own,
-                sequence=own.sequence + 1,
-                is_serving=self.is_ready(),
-                heard_at=self._clock.monotonic(),
-            )
-        )
-
-    def _make_report(self) -> bytes:
-        self._update_own()
-        now = self._clock.monotonic()
-        own, known = self._peers.get_own(), []
-        receivers = self._peers.count(now) - 1
-        if is_full_report(own.sequence, receivers) or self._has_newcomer:
-            self._has_newcomer = False
-            known = [p for p in self._peers.list_all() if now - p.heard_at <= COUNT_S]
-        report = PeerReport(
-            records=[own, *known],
-            loads=self._loads.list_own(),
-            news=self._chooser.take_news(),
-        )
-        return encode_report(report, now)
-
-    def _take_report(self, data: bytes) -> None:
-        now = self._clock.monotonic()
-        report = decode_report(data, now)
-        for record in report.records:
-            if self._peers.merge(record):
-                log.info(
-                    "instance seen",
-                    extra={"peer": str(record.instance), "zone": str(record.zone)},
-                )
-                self._has_newcomer = True
-                self._chooser.announce_all()
-        self._loads.set_peer(report.records[0].instance, report.loads, now)
-        self._chooser.merge_news(report.news)
-
     def _reload(self) -> None:
         """Read the settings again; those that are invalid change nothing."""
         if self._load is None:
