--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -8,19 +8,17 @@
 import itertools
 import random
 from dataclasses import dataclass, replace
+from types import SimpleNamespace
 
 from fescueflow.core import InstanceId, SeededRandomness, UpstreamId, ZoneId
+from fescueflow.gateway.attempts import AttemptClient
 from fescueflow.gateway.beliefs import Beliefs
 from fescueflow.gateway.choice import Chooser
 from fescueflow.gateway.loads import LoadBook
-from fescueflow.gateway.peers import (
-    REPORT_S,
-    PeerReport,
-    PeerTable,
-    decode_report,
-    encode_report,
-)
+from fescueflow.gateway.peers import REPORT_S, PeerTable
+from fescueflow.gateway.reporting import Reporter
 from fescueflow.gateway.turns import ReceiverTurns
+from fescueflow.metrics import Metrics
 from fescueflow.routing import Prompt
 from tests.fakes import FakeClock
 from tests.gateway.builders import make_boot, make_peer
@@ -39,8 +37,9 @@
 class Load:
     """What callers ask for.
 
-    Requests run for 0.7 to 1.3 times ``hold_s``. From ``hot_at`` on, ``hot_share`` of
-    them are about one subject.
+    Requests run for 0.7 to 1.3 times ``hold_s``. The subject of rank ``r`` is asked for
+    in proportion to ``r ** -skew``; from ``hot_at`` on, ``hot_share`` of the requests
+    are about one subject. ``is_load_told`` is whether upstreams tell their load.
     """
 
     instances: int = 88
@@ -48,6 +47,7 @@
     per_s: float = 180.0
     hold_s: float = 1.2
     subjects: int = 600
+    skew: float = 0.0
     hot_share: float = 0.0
     hot_at: float = 2.0
     shared_tokens: int = 10_500
@@ -86,28 +86,31 @@
             peers=self.peers,
             clock=clock,
         )
+        self.client = AttemptClient(
+            pool=None,
+            chooser=self.chooser,
+            loads=self.loads,
+            clock=clock,
+            metrics=Metrics(),
+        )
+        self.reporter = Reporter(
+            peers=self.peers,
+            loads=self.loads,
+            chooser=self.chooser,
+            clock=clock,
+            is_serving=lambda: True,
+        )
         self.turns = ReceiverTurns(SeededRandomness(seed + number))
         self.hosts = sorted(peer for peer in peers if peer != self.name)
         self.sent_bytes = 0
 
     def report(self):
         """Return the receivers and the datagram of the next report."""
-        now = self.clock.monotonic()
-        own = replace(self.peers.get_own(), heard_at=now)
-        report = PeerReport([own], self.loads.list_own(), self.chooser.take_news())
-        data = encode_report(report, now)
+        data = self.reporter.make_report()
         receivers = self.turns.take(self.hosts)
         self.sent_bytes += len(data) * len(receivers)
         return receivers, data
 
-    def take(self, data):
-        """Take over a report."""
-        now = self.clock.monotonic()
-        report = decode_report(data, now)
-        self.peers.merge(replace(report.records[0], sequence=int(now * 1e6)))
-        self.loads.set_peer(report.records[0].instance, report.loads, now)
-        self.chooser.merge_news(report.news)
-
 
 class FleetReplay:
     """Plays a load and records each arrival at an upstream."""
@@ -120,6 +123,10 @@
         self.running = {UpstreamId(f"u{n}"): 0 for n in range(load.upstreams)}
         self.held = {name: set() for name in self.running}
         self.arrivals = []
+        self._subjects = [f"k{n}" for n in range(load.subjects)]
+        self._weights = list(
+            itertools.accumulate((n + 1) ** -load.skew for n in range(load.subjects))
+        )
         self._events = []
         self._order = itertools.count()
         upstreams = [
@@ -172,14 +179,15 @@
     def _report(self, instance):
         receivers, data = instance.report()
         for receiver in receivers:
-            self._plan(WAY_S, self.instances[receiver].take, data)
+            self._plan(WAY_S, self.instances[receiver].reporter.take_report, data)
         self._plan(REPORT_S, self._report, instance)
 
     def _request(self):
         load = self.load
         self._plan(self.random.expovariate(load.per_s), self._request)
         is_hot = self.now >= load.hot_at and self.random.random() < load.hot_share
-        key = "hot" if is_hot else f"k{self.random.randrange(load.subjects)}"
+        (key,) = self.random.choices(self._subjects, cum_weights=self._weights)
+        key = "hot" if is_hot else key
         instance = self.random.choice(list(self.instances.values()))
         prompt = Prompt(key, load.shared_tokens, 1_000, 400)
         choice = instance.chooser.choose(ENGINES, prompt, set(), REMAINING_S)
@@ -196,6 +204,9 @@
 
     def _begin(self, instance, choice):
         choice.ticket.note_first()
+        if self.load.is_load_told:
+            told = self.running[choice.upstream.id]
+            instance.client.note_load(SimpleNamespace(choice=choice), "", told)
 
     def _finish(self, instance, choice, hold_s):
         self.running[choice.upstream.id] -= 1
--- /dev/null
+++ b/tests/gateway/test_imbalance.py
@@ -0,0 +1,42 @@
+"""Bound on imbalance in fleets of any size, on a replayed load."""
+
+import unittest
+
+from tests.gateway.fleet import FleetReplay, Load
+
+# The rules' bound: so many of the requests of five seconds may reach an upstream over
+# twice the mean of its service, plus 3.
+OVER_PART_MAX = 0.03
+SECONDS = 8.0
+SMALL = Load(instances=8, upstreams=6, per_s=45.0, subjects=100, hot_share=0.25)
+# One subject is suddenly asked for by 15 of 100 callers, more than its holder may take.
+HOT = Load(hot_share=0.15)
+# The load of the incident: no subject stands out, and a few holders have too many.
+SKEWED = Load(subjects=60, skew=0.8)
+LARGE = Load(instances=450, upstreams=37, per_s=220.0, hot_share=0.15)
+
+
+class ImbalanceTest(unittest.TestCase):
+    """Guards against holders that each instance takes for idle while all send there."""
+
+    def check_bound(self, load, seeds=(1, 2)):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                replay = FleetReplay(load, seed).run(SECONDS)
+                self.assertLess(replay.find_worst_window(), OVER_PART_MAX)
+
+    def test_small_fleet(self):
+        self.check_bound(SMALL)
+
+    def test_hot_subject_in_a_large_fleet(self):
+        self.check_bound(HOT)
+
+    def test_uneven_subjects_in_a_large_fleet(self):
+        self.check_bound(SKEWED)
+
+    def test_hot_subject_in_the_largest_fleet(self):
+        self.check_bound(LARGE, seeds=(1,))
+
+
+if __name__ == "__main__":
+    unittest.main()
