Judge the bound on imbalance by the upstreams' own counts

Cause: a bound on the whole fleet's load was judged on reports of single instances, which take 2.1 to 2.8 s to reach all others in fleets of 73 and 88 and are then spread evenly over the upstreams. All instances see a busy holder near the mean and go on sending to it.

Change: an upstream that tells its load in an answer tells what the whole fleet has sent there. This count goes before the reports while it is new, with the own requests since. Counts at the limit are passed on with the reports, which reaches a fleet of 450 in a few reports and needs no further messages.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -179,7 +179,7 @@
         )
 
     def note_load(self, attempt: Attempt, attempt_id: str, told: int) -> None:
-        """Compare an upstream's count of its requests with what was expected.
+        """Take over an upstream's count of its requests.
 
         Parameters
         ----------
@@ -190,13 +190,17 @@
         """
         choice = attempt.choice
         expected = choice.placement.candidate.load.running + 1
+        upstream = choice.upstream.id
+        # Others are told of an upstream that can't take one more.
+        is_high = told + 1 > choice.bound.limit
+        self._loads.note_count(upstream, told, self._clock.monotonic(), is_high)
         self._metrics.count("load_estimates", error=classify_error(told, expected))
         if told > choice.bound.limit:
             log.info(
                 "upstream over the limit",
                 extra={
                     "id": attempt_id,
-                    "upstream": str(choice.upstream.id),
+                    "upstream": str(upstream),
                     "told": told,
                     "expected": round(expected, 1),
                     "mean_running": round(choice.bound.mean, 1),
--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -65,6 +65,9 @@
             "cost_ms": round(self.placement.cost_ms, 1),
             "running": round(load.running, 1),
             "own_running": load.own_running,
+            "count_age_ms": (
+                None if load.count_age_s is None else round(load.count_age_s * 1000)
+            ),
             "mean_running": round(self.bound.mean, 1),
             "running_limit": round(self.bound.limit, 1),
             "report_age_ms": (
@@ -173,6 +176,7 @@
         with self._lock:
             self._health.forget(kept)
             self._holders.forget(kept)
+            self._loads.forget(kept)
 
     def choose(
         self,
@@ -213,7 +217,7 @@
             is_held = any(source.id == upstream.id for source in sources)
             source = sources[0] if sources and not is_held else None
             self._holders.note(service, prompt.key, upstream.id, listed, now)
-            ticket = self._loads.start(upstream.id, service, chosen.unread_tokens)
+            ticket = self._loads.start(upstream.id, service, chosen.unread_tokens, now)
             bound = measure_balance(candidates, self._boot.imbalance_factor, size)
             age_s = self._loads.get_report_age(now)
             return Choice(chosen, ticket, bound, source, age_s)
--- a/src/fescueflow/gateway/loads.py
+++ b/src/fescueflow/gateway/loads.py
@@ -1,11 +1,18 @@
 """Work of the whole fleet at each upstream."""
 
 import threading
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from fescueflow.core import InstanceId, UpstreamId
-from fescueflow.routing import LoadReport, ServiceId, UpstreamLoad, blend_reports
+from fescueflow.gateway.counts import CountBook, CountNews
+from fescueflow.routing import (
+    LoadReport,
+    ServiceId,
+    UpstreamLoad,
+    blend_reports,
+    correct_running,
+)
 
 # Loads of an instance that has not been heard for this long are dropped, in seconds;
 # longer in fleets whose instances report to each other by turns.
@@ -58,17 +65,22 @@
 
 
 class LoadBook:
-    """Own loads and those that other instances report."""
+    """Own loads, those that other instances report, and upstreams' own counts."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._own: dict[UpstreamId, OwnLoad] = {}
         self._peers: dict[InstanceId, PeerLoads] = {}
         self._hold_s: dict[ServiceId, float] = {}
+        self._counts = CountBook()
 
-    def start(self, upstream: UpstreamId, service: ServiceId, tokens: int) -> Ticket:
+    def start(
+        self, upstream: UpstreamId, service: ServiceId, tokens: int, now: float
+    ) -> Ticket:
         """Count a request with this many prompt tokens to read."""
         self.add(upstream, 1, tokens)
+        with self._lock:
+            self._counts.note_start(upstream, now)
         return Ticket(self, upstream, service, tokens)
 
     def add(self, upstream: UpstreamId, running: int, tokens: int) -> None:
@@ -100,6 +112,37 @@
         with self._lock:
             self._peers[peer] = PeerLoads(now, loads)
 
+    def note_count(
+        self, upstream: UpstreamId, count: int, now: float, is_high: bool
+    ) -> None:
+        """Take over the requests that an upstream counts itself.
+
+        Parameters
+        ----------
+        upstream : UpstreamId
+        count : int
+        now : float
+        is_high : bool
+            Whether other instances are to know.
+        """
+        with self._lock:
+            self._counts.note(upstream, count, now, is_high)
+
+    def merge_counts(self, news: Iterable[CountNews], now: float) -> None:
+        """Take over the counts that another instance tells."""
+        with self._lock:
+            self._counts.merge(news, now)
+
+    def list_counts(self, now: float) -> list[CountNews]:
+        """Return the counts that other instances are to know."""
+        with self._lock:
+            return self._counts.list_news(now)
+
+    def forget(self, kept: set[UpstreamId]) -> None:
+        """Drop the counts of upstreams that are gone."""
+        with self._lock:
+            self._counts.forget(kept)
+
     def list_own(self) -> dict[UpstreamId, tuple[int, int]]:
         """Return running requests and waiting tokens of this instance."""
         with self._lock:
@@ -139,11 +182,20 @@
                 LoadReport(max(0.0, now - entry.received_at), entry.loads)
                 for entry in self._peers.values()
             ]
-        others = blend_reports(reports, names, self.get_hold_s(service))
-        return {
+            counts = {name: self._counts.find(name, now) for name in names}
+        hold_s = self.get_hold_s(service)
+        others = blend_reports(reports, names, hold_s)
+        loads = {
             name: add_load(own.get(name, (0, 0)), running, tokens)
             for name, (running, tokens) in others.items()
         }
+        for name, count in counts.items():
+            if count is not None:
+                running = correct_running(loads[name].running, count, hold_s)
+                loads[name] = replace(
+                    loads[name], running=running, count_age_s=count.age_s
+                )
+        return loads
 
 
 def add_load(own: tuple[int, int], running: float, tokens: float) -> UpstreamLoad:
--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -10,6 +10,7 @@
 import logbook
 
 from fescueflow.core import Clock, InstanceId, Randomness, UpstreamId, ZoneId
+from fescueflow.gateway.counts import CountNews
 from fescueflow.gateway.turns import ReceiverTurns
 from fescueflow.routing import HolderNews, ServiceId
 
@@ -128,6 +129,7 @@
     records: list[PeerRecord]
     loads: Mapping[UpstreamId, tuple[int, int]] = field(default_factory=dict)
     news: list[HolderNews] = field(default_factory=list)
+    counts: list[CountNews] = field(default_factory=list)
 
 
 def encode_report(report: PeerReport, now: float) -> bytes:
@@ -141,6 +143,9 @@
             [news.service, news.key, news.upstream, round(news.age_s, 2)]
             for news in report.news
         ],
+        "counts": [
+            [news.upstream, news.count, round(news.age_s, 2)] for news in report.counts
+        ],
     }
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -183,11 +188,16 @@
             )
             for service, key, upstream, age_s in document["holders"]
         ]
+        # Instances of earlier versions send no counts.
+        counts = [
+            CountNews(UpstreamId(str(upstream)), int(count), max(0.0, float(age_s)))
+            for upstream, count, age_s in document.get("counts", [])
+        ]
     except (TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"malformed report: {error!r}") from error
     if not records:
         raise ValueError("a report names no instance")
-    return PeerReport(records, loads, news)
+    return PeerReport(records, loads, news, counts)
 
 
 def decode_record(entry: Any, now: float) -> PeerRecord:
--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -75,6 +75,7 @@
             records=[own, *known],
             loads=self._loads.list_own(),
             news=self._chooser.take_news(),
+            counts=self._loads.list_counts(now),
         )
         return encode_report(report, now)
 
@@ -97,6 +98,7 @@
                 self._has_newcomer = True
                 self._chooser.announce_all()
         self._loads.set_peer(report.records[0].instance, report.loads, now)
+        self._loads.merge_counts(report.counts, now)
         self._chooser.merge_news(report.news)
 
 
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -42,7 +42,12 @@
     parse_prompt,
     rank_placements,
 )
-from fescueflow.routing.reports import LoadReport, blend_reports
+from fescueflow.routing.reports import (
+    LoadCount,
+    LoadReport,
+    blend_reports,
+    correct_running,
+)
 from fescueflow.routing.retries import AttemptEnd, RepeatBudget, may_repeat
 from fescueflow.routing.selection import choose_service, find_customer, find_route
 
@@ -59,6 +64,7 @@
     "EngineTraits",
     "HolderNews",
     "HolderTable",
+    "LoadCount",
     "LoadReport",
     "NoRoute",
     "Placement",
@@ -79,6 +85,7 @@
     "Verdict",
     "blend_reports",
     "choose_service",
+    "correct_running",
     "estimate_cost_ms",
     "find_balanced",
     "find_customer",
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -57,14 +57,16 @@
     """Expected work of the whole fleet at one upstream.
 
     ``waiting_tokens`` counts prompt tokens of requests without a first event,
-    ``failure_rate`` is the recent part of failed attempts, 0 to 1, and
-    ``own_running`` the part of ``running`` that this instance has sent.
+    ``failure_rate`` is the recent part of failed attempts, 0 to 1, ``own_running`` the
+    part of ``running`` that this instance has sent, and ``count_age_s`` the age of the
+    upstream's own count that ``running`` rests on.
     """
 
     running: float = 0.0
     waiting_tokens: float = 0.0
     failure_rate: float = 0.0
     own_running: int = 0
+    count_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/fescueflow/routing/reports.py
+++ b/src/fescueflow/routing/reports.py
@@ -1,8 +1,11 @@
-"""Loads that other instances have reported, weighted by their age.
+"""Loads that other instances report and upstreams tell, weighted by their age.
 
 Answers a large fleet with old reports: a prompt that waited at a holder seconds ago has
 been read since, and its holder is no longer to be avoided. What a report says is
 forgotten at the rate at which requests end; what is left is the evenly spread load.
+
+The even spread hides a holder to which all instances send. An upstream's own count
+shows it, so it goes before the reports while it is new.
 """
 
 import math
@@ -27,6 +30,33 @@
     loads: Mapping[UpstreamId, tuple[int, int]]
 
 
+@dataclass(frozen=True, slots=True)
+class LoadCount:
+    """Requests at an upstream by its own count, and the age of the count.
+
+    ``own_since`` is how many this instance has sent there since.
+    """
+
+    count: int
+    age_s: float
+    own_since: int = 0
+
+
+def correct_running(estimate: float, count: LoadCount, hold_s: float) -> float:
+    """Return the requests running at an upstream that has told its count.
+
+    Parameters
+    ----------
+    estimate : float
+        Running requests by the reports of instances.
+    count : LoadCount
+    hold_s : float
+        Mean time that a request holds a place of the service.
+    """
+    kept = math.exp(-count.age_s / max(FORGET_MIN_S, hold_s))
+    return kept * (count.count + count.own_since) + (1 - kept) * estimate
+
+
 def blend_reports(
     reports: Iterable[LoadReport], names: Sequence[UpstreamId], hold_s: float
 ) -> dict[UpstreamId, tuple[float, float]]:
@@ -66,4 +96,4 @@
     }
 
 
-__all__ = ["LoadReport", "blend_reports"]
+__all__ = ["LoadCount", "LoadReport", "blend_reports", "correct_running"]
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -215,4 +215,4 @@
         instance.chooser.note_success(choice.upstream.id)
 
 
-__all__ = ["FleetReplay", "Load"]
+__all__ = ["FleetReplay", "Instance", "Load"]
--- /dev/null
+++ b/tests/gateway/test_counts.py
@@ -0,0 +1,97 @@
+"""Upstreams' own counts of their requests."""
+
+import unittest
+
+from fescueflow.core import UpstreamId
+from fescueflow.gateway.counts import COUNT_AGE_MAX_S, COUNTS_MAX, CountBook, CountNews
+from fescueflow.gateway.loads import LoadBook
+from fescueflow.gateway.peers import (
+    PeerReport,
+    decode_report,
+    encode_report,
+)
+from fescueflow.routing import LoadCount, correct_running
+from tests.gateway.builders import make_peer
+from tests.routing.builders import ENGINES
+
+ONE, TWO = UpstreamId("u1"), UpstreamId("u2")
+
+
+class CountBookTest(unittest.TestCase):
+    """Guards against counts that are taken for newer than they are."""
+
+    def setUp(self):
+        self.book = CountBook()
+
+    def test_later_count_stays_whatever_is_heard(self):
+        self.book.note(ONE, 20, 10.0, True)
+        self.book.merge([CountNews(ONE, 5, 0.5)], 10.2)
+        self.assertEqual(self.book.find(ONE, 10.2).count, 20)
+        self.book.merge([CountNews(ONE, 5, 0.1)], 10.2)
+        self.assertEqual(self.book.find(ONE, 10.2).count, 5)
+
+    def test_old_count_is_none(self):
+        self.book.note(ONE, 20, 10.0, True)
+        self.assertIsNone(self.book.find(ONE, 10.1 + COUNT_AGE_MAX_S))
+        self.assertEqual(self.book.list_news(10.1 + COUNT_AGE_MAX_S), [])
+
+    def test_own_requests_since_a_count_are_added(self):
+        self.book.note_start(ONE, 9.9)
+        self.book.note(ONE, 20, 10.0, True)
+        self.book.note_start(ONE, 10.1)
+        self.book.note_start(TWO, 10.1)
+        self.assertEqual(self.book.find(ONE, 10.2).own_since, 1)
+
+    def test_only_high_counts_are_told_the_largest_first(self):
+        for number in range(COUNTS_MAX + 3):
+            self.book.note(UpstreamId(f"u{number}"), number, 10.0, number != 8)
+        told = [news.count for news in self.book.list_news(10.1)]
+        self.assertEqual(len(told), COUNTS_MAX)
+        self.assertEqual(told, sorted(set(told), reverse=True))
+        self.assertNotIn(8, told)
+
+    def test_restarted_upstream_has_no_count(self):
+        self.book.note(ONE, 20, 10.0, True)
+        self.book.note_start(ONE, 10.0)
+        self.book.forget({TWO})
+        self.assertIsNone(self.book.find(ONE, 10.1))
+
+
+class EstimateTest(unittest.TestCase):
+    """Guards against a busy holder that looks idle since reports are seconds old."""
+
+    def test_new_count_goes_before_reports(self):
+        self.assertEqual(correct_running(9.7, LoadCount(24, 0.0, 2), 1.0), 26)
+
+    def test_count_is_forgotten_as_requests_end(self):
+        self.assertAlmostEqual(correct_running(9.0, LoadCount(24, 50.0), 1.0), 9.0)
+
+    def test_count_that_another_instance_heard(self):
+        loads = LoadBook()
+        loads.set_peer("edge-2", {ONE: (3, 0), TWO: (3, 0)}, 10.0)
+        loads.merge_counts([CountNews(ONE, 24, 0.0)], 10.0)
+        found = loads.estimate_loads([ONE, TWO], ENGINES, 10.0)
+        self.assertEqual((found[ONE].running, found[ONE].count_age_s), (24, 0.0))
+        self.assertEqual((found[TWO].running, found[TWO].count_age_s), (3, None))
+
+    def test_reports_carry_counts(self):
+        counts = [CountNews(ONE, 24, 0.25)]
+        data = encode_report(PeerReport([make_peer()], counts=counts), 0.0)
+        self.assertEqual(decode_report(data, 0.0).counts, counts)
+
+    def test_report_of_an_earlier_version_has_no_counts(self):
+        text = encode_report(PeerReport([make_peer()]), 0.0)
+        data = text.replace(b',"counts":[]', b"")
+        self.assertEqual(decode_report(data, 0.0).counts, [])
+
+    def test_malformed_counts(self):
+        text = encode_report(PeerReport([make_peer()]), 0.0)
+        for wrong in (b"[[1]]", b"5", b'[["u",null,1]]'):
+            changed = text.replace(b'"counts":[]', b'"counts":' + wrong)
+            self.assertNotEqual(changed, text)
+            with self.assertRaises(ValueError):
+                decode_report(changed, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway/test_imbalance.py
+++ b/tests/gateway/test_imbalance.py
@@ -1,6 +1,7 @@
 """Bound on imbalance in fleets of any size, on a replayed load."""
 
 import unittest
+from dataclasses import replace
 
 from tests.gateway.fleet import FleetReplay, Load
 
@@ -31,6 +32,9 @@
     def test_hot_subject_in_a_large_fleet(self):
         self.check_bound(HOT)
 
+    def test_upstreams_that_tell_no_load_in_a_large_fleet(self):
+        self.check_bound(replace(HOT, is_load_told=False))
+
     def test_uneven_subjects_in_a_large_fleet(self):
         self.check_bound(SKEWED)
 
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -82,7 +82,7 @@
     def test_own_requests_count_in_full(self):
         book = LoadBook()
         book.set_peer("other", {UpstreamId("u1"): (3, 0)}, 0.0)
-        book.start(UpstreamId("u1"), ENGINES, 700)
+        book.start(UpstreamId("u1"), ENGINES, 700, 0.0)
         found = book.estimate_loads(["u1", "u2"], ENGINES, 0.0)
         self.assertEqual((found["u1"].running, found["u1"].own_running), (4, 1))
         self.assertEqual((found["u1"].waiting_tokens, found["u2"].running), (700, 0))
