Compress the reports between instances

Callers of the large sites pay for reports: they go to other zones by links of 5 to 100 Mbit/s, on which they hold up answers.

Change: a report is compressed with a preset dictionary of what all have in common. A datagram that is cut, or larger than 1 MiB when unpacked, is refused.

No decision changes.

--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+import zlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -23,6 +24,13 @@
 # seconds: the longest window of the budgets.
 COUNT_S = 10.0
 DATAGRAM_BYTES_MAX = 60_000
+# Bytes of a report before it is compressed: several times the largest one.
+REPORT_BYTES_MAX = 1 << 20
+# What reports have in common, for their compression.
+REPORT_WORDS = (
+    b'{"members":[["edge-10.,"],true,0.0],false,0.0],"loads":{"i-":[1,0],"i-":[2,0],'
+    b'"i-":[0,0]},"holders":[["",0.0],[],"counts":[["i-",10,0.0],["i-",20,0.1]]}'
+)
 RECEIVE_TIMEOUT_S = 0.2
 
 log = logbook.Logger("peers")
@@ -147,7 +155,36 @@
             [news.upstream, news.count, round(news.age_s, 2)] for news in report.counts
         ],
     }
-    return json.dumps(document, separators=(",", ":")).encode()
+    return pack_report(json.dumps(document, separators=(",", ":")).encode())
+
+
+def pack_report(text: bytes) -> bytes:
+    """Return the datagram that carries the text of a report.
+
+    Notes
+    -----
+    Reports go to other zones by links of a few Mbit/s, on which they hold up answers.
+    """
+    packer = zlib.compressobj(zdict=REPORT_WORDS)
+    return packer.compress(text) + packer.flush()
+
+
+def unpack_report(data: bytes) -> bytes:
+    """Return the text of a report.
+
+    Raises
+    ------
+    ValueError
+        If the datagram is no complete report within the size.
+    """
+    unpacker = zlib.decompressobj(zdict=REPORT_WORDS)
+    try:
+        text = unpacker.decompress(data, REPORT_BYTES_MAX)
+    except zlib.error as error:
+        raise ValueError(f"malformed report: {error}") from error
+    if not unpacker.eof:
+        raise ValueError("a report is cut or too large")
+    return text
 
 
 def encode_record(record: PeerRecord, age_s: float) -> list[Any]:
@@ -172,7 +209,7 @@
     ValueError
         If the datagram is malformed.
     """
-    document = json.loads(data)
+    document = json.loads(unpack_report(data))
     try:
         records = [decode_record(entry, now) for entry in document["members"]]
         loads = {
@@ -310,4 +347,6 @@
     "choose_addresses",
     "decode_report",
     "encode_report",
+    "pack_report",
+    "unpack_report",
 ]
--- a/tests/gateway/test_counts.py
+++ b/tests/gateway/test_counts.py
@@ -9,6 +9,8 @@
     PeerReport,
     decode_report,
     encode_report,
+    pack_report,
+    unpack_report,
 )
 from fescueflow.routing import LoadCount, correct_running
 from tests.gateway.builders import make_peer
@@ -80,17 +82,17 @@
         self.assertEqual(decode_report(data, 0.0).counts, counts)
 
     def test_report_of_an_earlier_version_has_no_counts(self):
-        text = encode_report(PeerReport([make_peer()]), 0.0)
-        data = text.replace(b',"counts":[]', b"")
+        text = unpack_report(encode_report(PeerReport([make_peer()]), 0.0))
+        data = pack_report(text.replace(b',"counts":[]', b""))
         self.assertEqual(decode_report(data, 0.0).counts, [])
 
     def test_malformed_counts(self):
-        text = encode_report(PeerReport([make_peer()]), 0.0)
+        text = unpack_report(encode_report(PeerReport([make_peer()]), 0.0))
         for wrong in (b"[[1]]", b"5", b'[["u",null,1]]'):
             changed = text.replace(b'"counts":[]', b'"counts":' + wrong)
             self.assertNotEqual(changed, text)
             with self.assertRaises(ValueError):
-                decode_report(changed, 0.0)
+                decode_report(pack_report(changed), 0.0)
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,12 +6,15 @@
 from fescueflow.core import UpstreamId
 from fescueflow.gateway.peers import (
     COUNT_S,
+    REPORT_BYTES_MAX,
     SILENCE_MAX_S,
     PeerReport,
     PeerTable,
     choose_addresses,
     decode_report,
     encode_report,
+    pack_report,
+    unpack_report,
 )
 from fescueflow.routing import HolderNews
 from tests.gateway.builders import make_peer
@@ -83,8 +86,23 @@
             b'{"members":[[1]],"loads":{},"holders":[]}',
             b"\xff",
         ):
+            for datagram in (data, pack_report(data)):
+                with self.assertRaises(ValueError):
+                    decode_report(datagram, 0.0)
+
+    def test_cut_or_oversized(self):
+        """Guards against memory taken by a datagram of an unknown sender."""
+        data = encode_report(PeerReport([make_peer()]), 0.0)
+        for datagram in (data[:-4], pack_report(b" " * (REPORT_BYTES_MAX + 1))):
             with self.assertRaises(ValueError):
-                decode_report(data, 0.0)
+                decode_report(datagram, 0.0)
+
+    def test_report_is_compressed(self):
+        """Guards against reports that hold up answers on links of a few Mbit/s."""
+        names = [f"i-{number:08x}" for number in range(0, 7 << 24, 1 << 24)]
+        loads = {name: (1, 0) for name in names}
+        data = encode_report(PeerReport([make_peer()], loads), 0.0)
+        self.assertLess(len(data), 0.8 * len(unpack_report(data)))
 
 
 if __name__ == "__main__":
