Take the mean load over the upstreams that work

Prompts left their holders when many upstreams had failed: upstreams that an instance leaves out still counted in the mean, so that the bound lay below what the others must bear.

Change: upstreams that are left out for their failures do not count. Upstreams of withdrawn zones and leaving ones still do.

Evidence: by reasoning; the test failed before (mean 4, 8 expected).

--- a/src/fescueflow/gateway/choice.py
+++ b/src/fescueflow/gateway/choice.py
@@ -200,7 +200,7 @@
             cached = self._holders.find(service, prompt.key, listed, now)
             sources = self._rank_sources(service, prompt, tried, cached)
             candidates = self._list_candidates(service, usable, now)
-            size = self._beliefs.count_upstreams(service)
+            size = self._count_working(service, listed, now)
             placements = rank_placements(
                 candidates,
                 prompt,
@@ -222,6 +222,20 @@
             age_s = self._loads.get_report_age(now)
             return Choice(chosen, ticket, bound, source, age_s)
 
+    def _count_working(
+        self, service: ServiceId, listed: list[Upstream], now: float
+    ) -> int:
+        """Return the number of upstreams over which the mean load is taken.
+
+        Notes
+        -----
+        Those that are left out for their failures share no load. Counting them would
+        lower the bound below what the others must bear, and move prompts from their
+        holders for nothing.
+        """
+        failing = sum(self._health.is_paused(u.id, now) for u in listed)
+        return self._beliefs.count_upstreams(service) - failing
+
     def _list_candidates(
         self, service: ServiceId, usable: list[Upstream], now: float
     ) -> list[Candidate]:
--- a/tests/gateway/test_imbalance.py
+++ b/tests/gateway/test_imbalance.py
@@ -2,8 +2,14 @@
 
 import unittest
 from dataclasses import replace
+from functools import partial
 
-from tests.gateway.fleet import FleetReplay, Load
+from fescueflow.core import UpstreamId
+from fescueflow.routing import Prompt
+from fescueflow.routing.health import FAILURES_MAX
+from tests.fakes import FakeClock
+from tests.gateway.fleet import FleetReplay, Instance, Load
+from tests.routing.builders import ENGINES, make_upstream
 
 # The rules' bound: so many of the requests of five seconds may reach an upstream over
 # twice the mean of its service, plus 3.
@@ -51,5 +57,21 @@
         self.check_bound(LARGE, seeds=(1,))
 
 
+class MeanTest(unittest.TestCase):
+    """Guards against holders that are left for the load of upstreams that fail."""
+
+    def test_failing_upstreams_share_no_load(self):
+        clock = FakeClock()
+        names = [UpstreamId(f"u{n}") for n in range(4)]
+        upstreams = [make_upstream(name) for name in names]
+        instance = Instance(0, ["edge-0"], upstreams, clock, 1)
+        instance.loads.set_peer("edge-1", {names[0]: (8, 0), names[1]: (8, 0)}, 1000.0)
+        choose = partial(instance.chooser.choose, ENGINES, Prompt(), set(), 10.0)
+        self.assertEqual(choose().bound.mean, 4.0)
+        for name in names[2:] * FAILURES_MAX:
+            instance.chooser.note_failure(name)
+        self.assertGreaterEqual(choose().bound.mean, 8.0)
+
+
 if __name__ == "__main__":
     unittest.main()
