Log prompt parts and events of failed attempts

Cause: the lines of a request named neither the parts of its prompt nor how far its answer had come, so that the hypotheses on upstreams that end one after the other couldn't be told apart. Change: 'placed' and 'attempt failed' carry the shared parts; 'attempt failed' the events so far, the upstream's age and cold time. No logic changes.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterator
 
-import logbook
-
 from fescueflow.core import (
     BodyTooLarge,
     Clock,
@@ -17,8 +15,14 @@
 from fescueflow.gateway.attempts import Attempt, AttemptClient
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.request_logs import (
+    log_broken_stream,
+    log_failure,
+    log_selection,
+    log_stream_end,
+)
 from fescueflow.gateway.requests import CallerRequest, RequestContext, Response
-from fescueflow.gateway.selection import RETRY_AFTER_MS, Selection, UpstreamSelector
+from fescueflow.gateway.selection import RETRY_AFTER_MS, UpstreamSelector
 from fescueflow.gateway.streams import (
     EventSplitter,
     RelayTimes,
@@ -50,8 +54,6 @@
 # Lowest status that reports a failure of the upstream rather than of the request.
 SERVER_ERROR_MIN = 500
 
-log = logbook.Logger("forwarding")
-
 
 class Forwarder:
     """Forwards callers' requests to upstreams.
@@ -112,7 +114,7 @@
         except ExchangeFailed as failure:
             if attempt is not None:
                 attempt.fail(failure)
-            self._log_failure(context, failure)
+            log_failure(context, failure, self._clock)
             self._check_retry(context, failure)
             return None
         except RequestError:
@@ -157,8 +159,14 @@
             context.service, prompt, context.tried, context.deadline - now
         )
         context.tried.add(selection.upstream.id)
-        context.upstream = selection.upstream.id
-        self._log_selection(context, selection, now)
+        context.upstream = selection.upstream
+        log_selection(
+            context,
+            selection,
+            self._platform_state.get_table(),
+            self._platform_state.get_age(now),
+            now,
+        )
         headers = make_upstream_headers(
             request.headers,
             upstream=selection.upstream.id,
@@ -218,6 +226,7 @@
         for part in attempt.iterate_parts(limit):
             events = splitter.feed(part)
             if events:
+                context.event_count = splitter.event_count
                 attempt.record_first_event()
                 return events
         return splitter.take_remainder()
@@ -233,17 +242,18 @@
                 )
                 for part in attempt.iterate_parts(context.deadline, read_timeout_s):
                     if events := splitter.feed(part):
+                        context.event_count = splitter.event_count
                         yield events
                         # The caller's time to take the events does not count.
                         attempt.mark_progress()
                 attempt.finish()
                 if rest := splitter.take_remainder():
                     yield rest
-                self._log_stream_end(context, times)
+                log_stream_end(context, times, self._clock.monotonic())
                 return
             except ExchangeFailed as failure:
                 attempt.fail(failure)
-                self._log_failure(context, failure)
+                log_failure(context, failure, self._clock)
                 context.attempt = self._resume_elsewhere(context, splitter, failure)
             except RequestError as error:
                 attempt.cancel()
@@ -277,7 +287,7 @@
                 attempt = self._start_attempt(context, splitter.last_id)
             except ExchangeFailed as next_failure:
                 failure = next_failure
-                self._log_failure(context, failure)
+                log_failure(context, failure, self._clock)
                 continue
             except RequestError as error:
                 raise self._break_stream(context, error.message) from error
@@ -318,59 +328,9 @@
             return Overloaded(error.message)
         return error
 
-    def _log_selection(
-        self, context: RequestContext, selection: Selection, now: float
-    ) -> None:
-        table = self._platform_state.get_table()
-        log.info(
-            "placed",
-            extra={
-                "id": context.request.headers.attempt_id,
-                "route": str(context.route.id),
-                "service": str(context.service),
-                "attempt": context.attempts_sent + 1,
-                "left_ms": round((context.deadline - now) * 1000),
-                "table": table.version if table else None,
-                "belief_age_ms": round(self._platform_state.get_age(now) * 1000),
-                **selection.describe(),
-            },
-        )
-
-    def _log_failure(self, context: RequestContext, failure: ExchangeFailed) -> None:
-        log.warning(
-            "attempt failed",
-            extra={
-                "id": context.request.headers.attempt_id,
-                "upstream": str(context.upstream),
-                "end": failure.kind.value,
-                "why": failure.reason,
-            },
-        )
-
-    def _log_stream_end(self, context: RequestContext, times: RelayTimes) -> None:
-        now = self._clock.monotonic()
-        log.info(
-            "stream ended",
-            extra={
-                "id": context.request.headers.attempt_id,
-                "upstream": str(context.upstream),
-                "parts": times.parts,
-                "longest_gap_ms": round(times.upstream_wait_s * 1000),
-                "longest_hold_ms": round(times.caller_wait_s * 1000),
-                "after_ms": round((now - context.request.received_at) * 1000),
-            },
-        )
-
     def _break_stream(self, context: RequestContext, reason: str) -> StreamBroken:
         """Log a broken stream and return the error that closes the connection."""
-        log.warning(
-            "stream broken",
-            extra={
-                "id": context.request.headers.attempt_id,
-                "upstream": str(context.upstream),
-                "why": reason,
-            },
-        )
+        log_broken_stream(context, reason)
         return StreamBroken(reason)
 
     def _get_first_byte_deadline(self, context: RequestContext) -> float:
--- /dev/null
+++ b/src/fescueflow/gateway/request_logs.py
@@ -0,0 +1,128 @@
+"""Log lines that explain where a request was sent and how its attempts ended."""
+
+import logbook
+
+from fescueflow.core import Clock
+from fescueflow.gateway.exchange import ExchangeFailed
+from fescueflow.gateway.requests import RequestContext
+from fescueflow.gateway.selection import Selection
+from fescueflow.gateway.streams import RelayTimes
+from fescueflow.routing import RoutingTable, Upstream
+
+# Prompt parts in one line; callers may name any number.
+LOGGED_PARTS_MAX = 8
+
+log = logbook.Logger("forwarding")
+
+
+def log_selection(
+    context: RequestContext,
+    selection: Selection,
+    table: RoutingTable | None,
+    state_age_s: float,
+    now: float,
+) -> None:
+    """Log the upstream of the next attempt and why it was selected.
+
+    Parameters
+    ----------
+    context : RequestContext
+    selection : Selection
+    table : RoutingTable or None
+        The configuration in force.
+    state_age_s : float
+        Age of the local copy of the platform's state.
+    now : float
+    """
+    log.info(
+        "placed",
+        extra={
+            "id": context.request.headers.attempt_id,
+            "route": str(context.route.id),
+            "service": str(context.service),
+            "attempt": context.attempts_sent + 1,
+            "prompt_parts": list_parts(context),
+            "left_ms": round((context.deadline - now) * 1000),
+            "table": table.version if table else None,
+            "belief_age_ms": round(state_age_s * 1000),
+            **selection.describe(),
+        },
+    )
+
+
+def log_failure(context: RequestContext, failure: ExchangeFailed, clock: Clock) -> None:
+    """Log a failed attempt with the prompt parts of its request.
+
+    Notes
+    -----
+    The events so far tell whether an answer with these parts had begun, and the age of
+    the upstream whether it was still starting.
+    """
+    log.warning(
+        "attempt failed",
+        extra={
+            "id": context.request.headers.attempt_id,
+            "end": failure.kind.value,
+            "why": failure.reason,
+            "prompt_parts": list_parts(context),
+            "events": context.event_count,
+            **describe_upstream(context.upstream, clock),
+        },
+    )
+
+
+def log_stream_end(context: RequestContext, times: RelayTimes, now: float) -> None:
+    """Log the complete end of a stream and its longest pauses."""
+    log.info(
+        "stream ended",
+        extra={
+            "id": context.request.headers.attempt_id,
+            "upstream": str(context.upstream.id) if context.upstream else None,
+            "parts": times.parts,
+            "longest_gap_ms": round(times.upstream_wait_s * 1000),
+            "longest_hold_ms": round(times.caller_wait_s * 1000),
+            "after_ms": round((now - context.request.received_at) * 1000),
+        },
+    )
+
+
+def log_broken_stream(context: RequestContext, reason: str) -> None:
+    """Log a stream that ends before its last event."""
+    log.warning(
+        "stream broken",
+        extra={
+            "id": context.request.headers.attempt_id,
+            "upstream": str(context.upstream.id) if context.upstream else None,
+            "why": reason,
+        },
+    )
+
+
+def list_parts(context: RequestContext) -> list[str]:
+    """Return the first shared parts of the request's prompt."""
+    return list(context.request.headers.prompt.shared_parts[:LOGGED_PARTS_MAX])
+
+
+def describe_upstream(
+    upstream: Upstream | None, clock: Clock
+) -> dict[str, str | int | None]:
+    """Return the log fields of an upstream: its name, age and remaining cold time."""
+    if upstream is None:
+        return {"upstream": None}
+    cold_s = max(0.0, upstream.cold_until - clock.monotonic())
+    age_ms = round(clock.wall_time() * 1000) - upstream.started_at_ms
+    return {
+        "upstream": str(upstream.id),
+        "upstream_age_ms": age_ms if upstream.started_at_ms else None,
+        "cold_ms": round(cold_s * 1000),
+    }
+
+
+__all__ = [
+    "describe_upstream",
+    "list_parts",
+    "log_broken_stream",
+    "log_failure",
+    "log_selection",
+    "log_stream_end",
+]
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -7,7 +7,7 @@
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.streams import StreamBody
 from fescueflow.platform import CallHeaders, Headers
-from fescueflow.routing import Route, ServiceId
+from fescueflow.routing import Route, ServiceId, Upstream
 
 
 @dataclass(frozen=True)
@@ -47,10 +47,12 @@
     # Upstreams that are not tried again.
     tried: set[UpstreamId] = field(default_factory=set)
     may_have_run: bool = False
+    # Complete events of all attempts.
+    event_count: int = 0
     # An upstream's error response, returned if no other upstream succeeds.
     fallback: Response | None = None
     # Upstream of the current attempt.
-    upstream: UpstreamId | None = None
+    upstream: Upstream | None = None
     # Attempt whose stream is being relayed.
     attempt: Attempt | None = None
 
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -25,10 +25,13 @@
     ----------
     last_id : str or None
         Id of the last complete event.
+    event_count : int
+        Number of complete events.
     """
 
     def __init__(self) -> None:
         self.last_id: str | None = None
+        self.event_count = 0
         self._pending = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -43,6 +46,7 @@
         end = 0
         for found in EVENT_END.finditer(self._pending):
             end = found.end()
+            self.event_count += 1
         events, self._pending = self._pending[:end], self._pending[end:]
         if len(self._pending) > EVENT_BYTES_MAX:
             raise ExchangeFailed(AttemptFailure.BROKEN, "an event is too large")
--- a/src/fescueflow/routing/model.py
+++ b/src/fescueflow/routing/model.py
@@ -8,6 +8,8 @@
 
 ServiceId = NewType("ServiceId", str)
 RouteId = NewType("RouteId", str)
+# Identifies a part of a prompt by its content.
+PartId = NewType("PartId", str)
 # Priority of a route or customer that sets none; 0 is the highest.
 PRIORITY_DEFAULT = 5
 
@@ -138,6 +140,7 @@
     "CallerLimits",
     "Customer",
     "EngineTraits",
+    "PartId",
     "Route",
     "RouteId",
     "RouteKind",
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from fescueflow.core import UpstreamId, ZoneId, choose_candidate, rank_candidates
-from fescueflow.routing.model import Upstream
+from fescueflow.routing.model import PartId, Upstream
 
 # Prefill speed of an engine, in prompt tokens per millisecond; the data sheets of the
 # two deployments give 112 and 125.
@@ -53,12 +53,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Prompt:
-    """Size of a prompt in tokens and the key of its shared prefix."""
+    """Size of a prompt in tokens and the key of its shared prefix.
+
+    ``shared_parts`` are the parts that other prompts may have too, in order.
+    """
 
     key: str = ""
     shared_tokens: int = 0
     own_tokens: int = 0
     output_tokens: int = 0
+    shared_parts: tuple[PartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +137,9 @@
     entries = [entry.rpartition(":") for entry in parts.split(",") if entry]
     sizes = [int(size) for _, _, size in entries]
     shared = sum(sizes[:-1])
-    key = entries[-2][0].strip() if len(entries) > 1 else ""
-    return Prompt(key, shared, max(0, total - shared), output)
+    shared_parts = tuple(PartId(name.strip()) for name, _, _ in entries[:-1])
+    key = shared_parts[-1] if shared_parts else ""
+    return Prompt(key, shared, max(0, total - shared), output, shared_parts)
 
 
 def find_holder(key: str, upstreams: Iterable[Upstream]) -> UpstreamId | None:
