Show upstreams that end one after the other under one prompt part

Cause: each request with the part ends the upstream that begins to answer it; the instance then sends it to the next, and the caller repeats it at another instance. Change: a stand-in for engines that end under a part and come back, a fleet of instances in one process, and a test that fails. No code changes.

--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -5,19 +5,19 @@
 from fescueflow.platform import parse_boot
 
 BOOT = """
-node_name = "edge-a-1"
-ip = "127.0.0.1"
-zone = "a"
+node_name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
 region = "r"
 internal_ports = [{peer_port}, {peer_port}]
-seed_nodes = []
+seed_nodes = {seeds}
 bootstrap = true
 heartbeat_ms = 1200
 unknown_field = "ignored"
 [listen_addrs]
-frontend = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
-directory_addr = "127.0.0.1:{directory}"
+frontend = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+directory_addr = "{ip}:{directory}"
 [bounds]
 reuse_delay_s = 2
 stable_window_ms = 3000
@@ -38,6 +38,10 @@
 def render_boot(**ports):
     """Return the text of a settings file."""
     defaults = {
+        "name": "edge-a-1",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "seeds": "[]",
         "peer_port": 7001,
         "callers": 7002,
         "ready": 7003,
--- /dev/null
+++ b/tests/gateway/mortal_upstreams.py
@@ -0,0 +1,212 @@
+"""Upstreams that end under certain requests and come back, and a fleet before them."""
+
+import contextlib
+import http.client
+import socket
+import threading
+import time
+
+from fescueflow.core import SeededRandomSource, SystemClock
+from fescueflow.gateway import Gateway
+from tests.gateway.builders import make_boot
+from tests.gateway.fake_servers import QuietHandler, QuietServer
+from tests.standins.fleet import find_free_port
+
+# Time from the end of an upstream until the store drops its entry: three heartbeats.
+EXPIRY_S = 1.0
+CALL_TIMEOUT_S = 10.0
+
+
+class MortalUpstream:
+    """Engine that ends when it begins to answer a request with a fatal part.
+
+    Parameters
+    ----------
+    name : str
+        Each start has a name of its own, which begins with this one.
+    store : FakeStore
+    fatal_parts : set of str
+        May be changed while the upstream runs.
+    down_s : float
+        Time from an end until the next start.
+    first_event_s : float
+        Time until the first event of an answer.
+    """
+
+    def __init__(self, name, store, fatal_parts, down_s=1.5, first_event_s=0.02):
+        self.name = name
+        self.fatal_parts = fatal_parts
+        self.first_event_s = first_event_s
+        # Prompt parts and time of each request, over all starts.
+        self.arrivals = []
+        self.ended_at = []
+        self._store = store
+        self._down_s = down_s
+        self._starts = 0
+        self._timers = []
+        self._lock = threading.Lock()
+        self._is_closed = False
+        self._start()
+
+    def close(self):
+        """Stop for good."""
+        with self._lock:
+            self._is_closed = True
+        for timer in self._timers:
+            timer.cancel()
+        self._stop_serving()
+
+    def end(self):
+        """End like a crashed process: all connections break, new ones are refused."""
+        with self._lock:
+            if self._is_closed or not self._is_up:
+                return
+            self._is_up = False
+        self.ended_at.append(time.monotonic())
+        self._stop_serving()
+        started_name = self.started_name
+        self._run_later(EXPIRY_S, self._store.put, f"servers/{started_name}", None)
+        self._run_later(self._down_s, self._start)
+
+    def _run_later(self, delay_s, work, *arguments):
+        timer = threading.Timer(delay_s, work, arguments)
+        timer.daemon = True
+        self._timers.append(timer)
+        timer.start()
+
+    def _start(self):
+        with self._lock:
+            if self._is_closed:
+                return
+            self._is_up = True
+            self._starts += 1
+        self.started_name = f"{self.name}-{self._starts}"
+        self._connections = set()
+        self._server = QuietServer(("127.0.0.1", 0), self._make_handler())
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.02,), daemon=True
+        ).start()
+        entry = {
+            "service": "engines",
+            "address": f"127.0.0.1:{self._server.server_address[1]}",
+            "zone": "a",
+            "slots": 64,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": int(time.time() * 1000),
+        }
+        self._store.put(f"servers/{self.started_name}", entry)
+
+    def _stop_serving(self):
+        # A listening socket that is shut down refuses connections at once.
+        with contextlib.suppress(OSError):
+            self._server.socket.shutdown(socket.SHUT_RDWR)
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self._server.shutdown, daemon=True).start()
+        self._server.socket.close()
+
+    def _make_handler(self):
+        upstream = self
+        name, connections = self.started_name, self._connections
+
+        class Handler(QuietHandler):
+            upstream_name = name
+
+            def setup(self):
+                super().setup()
+                connections.add(self.connection)
+
+            def do_POST(self):
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                if self.headers["X-Expect-Instance"] != name:
+                    self.send_with_length(421, self.make_seal(), b"")
+                    return
+                parts = read_parts(self.headers.get("X-Prefix-Hash", ""))
+                upstream.arrivals.append((time.monotonic(), parts))
+                upstream.answer(self, parts)
+
+        return Handler
+
+    def answer(self, handler, parts):
+        """Send a stream of three events, or end."""
+        handler.start_stream()
+        time.sleep(self.first_event_s)
+        if self.fatal_parts & set(parts):
+            self.end()
+            handler.close_connection = True
+            return
+        for number in (1, 2, 3):
+            handler.send_event(number)
+            time.sleep(0.01)
+        with contextlib.suppress(OSError):
+            handler.end_stream()
+
+
+def read_parts(header):
+    """Return the ids of the prompt parts in a request header, without the last."""
+    return [entry.partition(":")[0] for entry in header.split(",")[:-1]]
+
+
+class LiveFleet:
+    """Instances of one process, which report to each other on loopback."""
+
+    def __init__(self, store, count):
+        names = ("peer_port", "callers", "ready", "directory")
+        ports = {name: find_free_port("127.0.0.1") for name in names}
+        self.ports = ports
+        self.hosts = [f"127.0.0.{number + 2}" for number in range(count)]
+        self.gateways = [
+            self._start_gateway(store, number, host)
+            for number, host in enumerate(self.hosts)
+        ]
+
+    def _start_gateway(self, store, number, host):
+        boot = make_boot(
+            name=f"edge-{number}",
+            ip=host,
+            seeds=f'["{self.hosts[0]}:1", "{self.hosts[-1]}:1"]',
+            store=store.port,
+            grace_s=0.2,
+            **self.ports,
+        )
+        gateway = Gateway(boot, SystemClock(), SeededRandomSource(number))
+        gateway.start()
+        return gateway
+
+    def close(self):
+        """Stop all instances."""
+        threads = [threading.Thread(target=g.leave) for g in self.gateways]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def call(self, number, target, parts, attempt_id):
+        """Return status, headers and body; status 0 for an answer that was cut."""
+        host = self.hosts[number % len(self.hosts)]
+        prefix = ",".join(f"{part}:300" for part in [*parts, attempt_id])
+        connection = http.client.HTTPConnection(
+            host, self.ports["callers"], timeout=CALL_TIMEOUT_S
+        )
+        headers = {
+            "Host": "fleet.example",
+            "X-Attempt-Id": attempt_id,
+            "X-Deadline-Ms": "5000",
+            "Authorization": "Token k1",
+            "X-Prefix-Hash": prefix,
+            "X-Token-Count": "900,40",
+        }
+        try:
+            connection.request("POST", target, body=b"question", headers=headers)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, {}, b""
+        finally:
+            connection.close()
+
+
+__all__ = ["LiveFleet", "MortalUpstream", "read_parts"]
--- /dev/null
+++ b/tests/gateway/test_query_of_death.py
@@ -0,0 +1,68 @@
+"""Tests of requests under which upstreams end, with real instances and sockets."""
+
+import time
+import unittest
+
+from tests.gateway.fake_servers import FakeStore
+from tests.gateway.gateway_case import WAIT_S, make_table
+from tests.gateway.mortal_upstreams import LiveFleet, MortalUpstream
+
+# Upstreams that may end under one part, and requests with it that may reach upstreams
+# later than the stable window after the last of these ends.
+ENDS_MAX = 5
+LATE_ARRIVALS_MAX = 3
+STABLE_WINDOW_S = 3.0
+
+
+class QueryOfDeathTest(unittest.TestCase):
+    """Guards against one prompt part that ends an upstream after the other."""
+
+    instances = 3
+
+    def setUp(self):
+        self.fatal_parts = set()
+        self.store = FakeStore()
+        self.addCleanup(self.store.close)
+        self.store.put("op/config", make_table(1))
+        self.upstreams = [
+            MortalUpstream(f"u{n}", self.store, self.fatal_parts) for n in range(4)
+        ]
+        for upstream in self.upstreams:
+            self.addCleanup(upstream.close)
+        self.fleet = LiveFleet(self.store, self.instances)
+        self.addCleanup(self.fleet.close)
+        self.calls = 0
+        deadline = time.monotonic() + WAIT_S
+        for number in range(self.instances):
+            while self.call(["first"], number)[0] != 200:
+                self.assertLess(time.monotonic(), deadline, "no instance serves")
+
+    def call(self, parts, number=None, route="/stream/1"):
+        """Return status, headers and body of a request at the next instance."""
+        self.calls += 1
+        number = self.calls if number is None else number
+        return self.fleet.call(number, route, parts, f"a{self.calls}")
+
+    def list_ends(self):
+        return sorted(at for u in self.upstreams for at in u.ended_at)
+
+    def count_arrivals(self, part, since):
+        arrivals = [a for u in self.upstreams for a in u.arrivals]
+        return sum(at >= since and part in parts for at, parts in arrivals)
+
+    def test_upstreams_ended_one_after_the_other(self):
+        """A request with the part comes at any instance, and its caller repeats."""
+        self.fatal_parts.add("fatal")
+        began = time.monotonic()
+        while time.monotonic() - began < STABLE_WINDOW_S + 3.0:
+            self.call(["first", "fatal"])
+            self.call(["first", "sound"])
+        ends = self.list_ends()
+        self.assertLessEqual(len(ends), ENDS_MAX)
+        bound_from = ends[-1] + STABLE_WINDOW_S
+        late = self.count_arrivals("fatal", bound_from)
+        self.assertLessEqual(late, LATE_ARRIVALS_MAX)
+
+
+if __name__ == "__main__":
+    unittest.main()
