--- a/src/fescueflow/core/errors.py
+++ b/src/fescueflow/core/errors.py
@@ -130,6 +130,14 @@
     default_outcome = Outcome.NOT_RUN
 
 
+class PromptQuarantined(RequestError):
+    """Upstreams crash under a part of the request's prompt."""
+
+    status = 503
+    type = "prompt_quarantined"
+    default_outcome = Outcome.NOT_RUN
+
+
 class NotReady(RequestError):
     """The instance has no configuration yet or knows no upstream."""
 
@@ -202,6 +210,7 @@
     "OwnerUnavailable",
     "PeerError",
     "PlatformUnavailable",
+    "PromptQuarantined",
     "RequestError",
     "RequestIdReused",
     "UnknownCustomer",
--- a/src/fescueflow/core/identifiers.py
+++ b/src/fescueflow/core/identifiers.py
@@ -1,5 +1,6 @@
 """Identifier types and rendezvous hashing of candidates."""
 
+from collections.abc import Sequence
 from functools import lru_cache
 from typing import NewType
 
@@ -43,7 +44,7 @@
     )
 
 
-def choose_candidate(key: str, candidates: list[str]) -> str | None:
+def choose_candidate(key: str, candidates: Sequence[str]) -> str | None:
     """Return the candidate with the highest score, ``None`` if there is none."""
     return max(
         candidates, key=lambda name: (score_candidate(key, name), name), default=None
--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -6,8 +6,14 @@
 
 from fescueflow.core import Clock, UpstreamId
 from fescueflow.gateway.connections import ConnectionPool, UpstreamConnection
-from fescueflow.gateway.exchange import Exchange, ExchangeFailed, render_request
+from fescueflow.gateway.exchange import (
+    ConnectionLost,
+    Exchange,
+    ExchangeFailed,
+    render_request,
+)
 from fescueflow.gateway.loads import LoadTracker
+from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.selection import Selection, UpstreamSelector
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -23,13 +29,19 @@
     parse_pause,
     parse_upstream_load,
 )
-from fescueflow.routing import AttemptFailure
+from fescueflow.routing import AttemptFailure, PartId, Prompt, Upstream
 
 # Largest error of an estimated load that counts as accurate: the imbalance bound allows
 # three requests above the multiple of the mean.
 ESTIMATE_TOLERANCE_REQUESTS = 3.0
 
 UNAVAILABLE_STATUS = 503
+# Events after which an answer counts as begun. An upstream may crash while it writes
+# the first one.
+BEGUN_EVENTS = 2
+# Limit for a connection that shows whether an upstream still runs; the longest round
+# trip between availability zones takes a tenth.
+CRASH_CHECK_TIMEOUT_S = 0.1
 
 log = logbook.Logger("attempts")
 
@@ -41,6 +53,7 @@
         self,
         *,
         selection: Selection,
+        prompt: Prompt,
         connection: UpstreamConnection,
         exchange: Exchange,
         client: "AttemptClient",
@@ -48,6 +61,8 @@
         started_at: float,
     ) -> None:
         self.selection = selection
+        self.prompt = prompt
+        self.event_count = 0
         self.started_at = started_at
         self.exchange = exchange
         self._connection = connection
@@ -111,9 +126,18 @@
         """Return the whole body."""
         return self.exchange.read_body(deadline)
 
-    def record_first_event(self) -> None:
-        """Record that the first event has arrived."""
-        self.selection.active_request.mark_prompt_read()
+    def record_events(self, count: int) -> None:
+        """Record that complete events of a stream have arrived."""
+        if not self.event_count:
+            self.selection.active_request.mark_prompt_read()
+        self.event_count += count
+        if self.has_begun:
+            self._client.record_progress(self)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the upstream has survived the beginning of the answer."""
+        return self.event_count >= BEGUN_EVENTS
 
     def finish(self) -> None:
         """End after a complete response; the connection is reused if possible."""
@@ -148,6 +172,7 @@
     loads : LoadTracker
     clock : Clock
     metrics : Metrics
+    quarantine : PromptQuarantine
     """
 
     def __init__(
@@ -158,7 +183,9 @@
         loads: LoadTracker,
         clock: Clock,
         metrics: Metrics,
+        quarantine: PromptQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._pool = pool
         self._selector = selector
         self._loads = loads
@@ -168,6 +195,7 @@
     def connect(
         self,
         selection: Selection,
+        prompt: Prompt,
         deadline: float,
         is_caller_disconnected: Callable[[], bool],
     ) -> Attempt:
@@ -187,11 +215,13 @@
                 self._metrics.count("upstream_connections")
         except OSError as error:
             selection.active_request.end()
-            self._record_unhealthy(upstream.id)
+            is_down = isinstance(error, ConnectionRefusedError)
+            self._record_unhealthy(upstream.id, is_down)
             self._metrics.count("attempts", end=AttemptFailure.NOT_SENT.value)
             raise ExchangeFailed(AttemptFailure.NOT_SENT, repr(error)) from error
         return Attempt(
             selection=selection,
+            prompt=prompt,
             connection=connection,
             exchange=Exchange(connection, self._clock, is_caller_disconnected),
             client=self,
@@ -259,9 +289,19 @@
         self._loads.record_duration(
             attempt.selection.active_request.service, duration_s
         )
-        self._selector.record_success(attempt.selection.upstream.id)
+        upstream = attempt.selection.upstream
+        self._selector.record_success(upstream.id)
+        self._quarantine.record_answer(upstream, attempt.started_at)
+        if attempt.exchange.has_marked_end:
+            self.record_progress(attempt)
         self._metrics.count("attempts", end="answered")
 
+    def record_progress(self, attempt: Attempt) -> None:
+        """Record that an answer has begun, or ended well."""
+        self._quarantine.record_progress(
+            attempt.selection.upstream.service, attempt.prompt.shared_parts
+        )
+
     def record_failure(self, attempt: Attempt, failure: ExchangeFailed) -> None:
         """Record a failed attempt."""
         upstream = attempt.selection.upstream.id
@@ -270,10 +310,46 @@
             log.warning("upstream replaced", extra={"upstream": str(upstream)})
         elif failure.kind is not AttemptFailure.REFUSED:
             self._record_unhealthy(upstream)
+        if isinstance(failure, ConnectionLost):
+            self._record_lost(attempt)
         self._metrics.count("attempts", end=failure.kind.value)
 
-    def _record_unhealthy(self, upstream: UpstreamId) -> None:
-        if self._selector.record_failure(upstream):
+    def _record_lost(self, attempt: Attempt) -> None:
+        """Record a crash if the upstream of a lost connection takes no new one.
+
+        Notes
+        -----
+        An upstream that only closed or reset the connection still accepts others, and
+        one that is cut off does not refuse them.
+        """
+        upstream = attempt.selection.upstream
+        if not self._is_down(upstream):
+            return
+        parts: tuple[PartId, ...] = ()
+        if not attempt.has_begun:
+            parts = attempt.prompt.shared_parts
+        self._quarantine.record_crash(upstream, parts, attempt.started_at)
+        if attempt.has_begun:
+            self.record_progress(attempt)
+
+    def _is_down(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has crashed or refuses connections."""
+        if self._quarantine.has_crashed(upstream):
+            return True
+        try:
+            connection = self._pool.open(upstream.address, CRASH_CHECK_TIMEOUT_S)
+        except ConnectionRefusedError:
+            self._record_unhealthy(upstream.id, is_down=True)
+            return True
+        except OSError as error:
+            log.debug("connection to {} not opened: {!r}", upstream.id, error)
+            return False
+        self._metrics.count("upstream_connections")
+        self._pool.release(connection, None)
+        return False
+
+    def _record_unhealthy(self, upstream: UpstreamId, is_down: bool = False) -> None:
+        if self._selector.record_failure(upstream, is_down):
             log.warning("upstream left out", extra={"upstream": str(upstream)})
 
 
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -33,6 +33,13 @@
         self.reason = reason
 
 
+class ConnectionLost(ExchangeFailed):
+    """The connection ended or was reset before the end of the response."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(AttemptFailure.BROKEN, reason)
+
+
 class BufferSocket:
     """Socket substitute that collects the data sent."""
 
@@ -213,7 +220,7 @@
             elif self._decoder is None and self._remaining_bytes is None:
                 self.is_complete = True
             else:
-                raise ExchangeFailed(AttemptFailure.BROKEN, "the body is cut")
+                raise ConnectionLost("the body is cut")
 
     def mark_progress(self) -> None:
         """Note that the body has grown by something complete, or that it was paused."""
@@ -230,6 +237,18 @@
             parts.append(part)
         return b"".join(parts)
 
+    @property
+    def has_marked_end(self) -> bool:
+        """Whether a length or chunks show that the body is complete.
+
+        Notes
+        -----
+        A body that ends with its connection may be that of a server that crashed.
+        """
+        return self.is_complete and (
+            self._remaining_bytes is not None or self._decoder is not None
+        )
+
     def get_keep_alive(self) -> tuple[bool, float | None]:
         """Return whether the connection is reusable, and its keep-alive timeout."""
         response = self._response
@@ -249,7 +268,7 @@
         while True:
             data = self._receive(deadline)
             if not data:
-                raise ExchangeFailed(AttemptFailure.BROKEN, "the head is cut")
+                raise ConnectionLost("the head is cut")
             try:
                 response = reader.feed(data)
             except (http.client.HTTPException, ValueError) as error:
@@ -268,7 +287,7 @@
             except BlockingIOError:
                 continue
             except OSError as error:
-                raise ExchangeFailed(AttemptFailure.BROKEN, repr(error)) from error
+                raise ConnectionLost(repr(error)) from error
 
     def _decode(self, data: bytes) -> Iterator[bytes]:
         if self._decoder is not None:
@@ -337,4 +356,4 @@
             raise ExchangeFailed(AttemptFailure.TIMED_OUT, "no byte in time")
 
 
-__all__ = ["Exchange", "ExchangeFailed", "render_request"]
+__all__ = ["ConnectionLost", "Exchange", "ExchangeFailed", "render_request"]
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -9,12 +9,14 @@
     NotReady,
     Outcome,
     Overloaded,
+    PromptQuarantined,
     RequestError,
     UpstreamFailed,
 )
 from fescueflow.gateway.attempts import Attempt, AttemptClient
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
@@ -39,6 +41,7 @@
     PRIORITY_DEFAULT,
     AttemptFailure,
     RouteKind,
+    Verdict,
     choose_service,
     find_customer,
     find_route,
@@ -64,6 +67,7 @@
     selector : UpstreamSelector
     client : AttemptClient
     clock : Clock
+    quarantine : PromptQuarantine
     """
 
     def __init__(
@@ -73,7 +77,9 @@
         selector: UpstreamSelector,
         client: AttemptClient,
         clock: Clock,
+        quarantine: PromptQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._platform_state = platform_state
         self._selector = selector
         self._client = client
@@ -156,7 +162,11 @@
             raise DeadlineExceeded("the deadline passed")
         prompt = request.headers.prompt
         selection = self._selector.select(
-            context.service, prompt, context.tried, context.deadline - now
+            context.service,
+            prompt,
+            context.tried,
+            context.deadline - now,
+            self._find_isolation_key(context),
         )
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
@@ -177,7 +187,7 @@
             copy_from=selection.source.address if selection.source else None,
         )
         attempt = self._client.connect(
-            selection, context.deadline, request.is_caller_disconnected
+            selection, prompt, context.deadline, request.is_caller_disconnected
         )
         try:
             context.attempts_sent += 1
@@ -193,6 +203,26 @@
             raise
         return attempt
 
+    def _find_isolation_key(self, context: RequestContext) -> str | None:
+        """Return the key by which a suspected request is kept apart.
+
+        Raises
+        ------
+        PromptQuarantined
+            If upstreams crash under a part of the prompt.
+        """
+        prompt, service = context.request.headers.prompt, context.service
+        verdict = self._quarantine.check(service, prompt)
+        if verdict is Verdict.REJECT:
+            retry_after_s = self._quarantine.get_retry_after_s(service, prompt)
+            raise PromptQuarantined(
+                "upstreams crash under a part of the prompt",
+                retry_after_ms=round(retry_after_s * 1000),
+            )
+        if verdict is Verdict.ADMIT:
+            return None
+        return self._quarantine.get_isolation_key(service, prompt)
+
     def _read_response(self, context: RequestContext, attempt: Attempt) -> Response:
         status = attempt.exchange.status
         headers = select_response_headers(attempt.exchange.headers)
@@ -226,8 +256,7 @@
         for part in attempt.iterate_parts(limit):
             events = splitter.feed(part)
             if events:
-                context.event_count = splitter.event_count
-                attempt.record_first_event()
+                record_events(context, attempt, splitter)
                 return events
         return splitter.take_remainder()
 
@@ -242,7 +271,7 @@
                 )
                 for part in attempt.iterate_parts(context.deadline, read_timeout_s):
                     if events := splitter.feed(part):
-                        context.event_count = splitter.event_count
+                        record_events(context, attempt, splitter)
                         yield events
                         # The caller's time to take the events does not count.
                         attempt.mark_progress()
@@ -342,6 +371,14 @@
         return min(context.deadline, self._clock.monotonic() + read_timeout_s)
 
 
+def record_events(
+    context: RequestContext, attempt: Attempt, splitter: EventSplitter
+) -> None:
+    """Count the events that have arrived since the last call."""
+    attempt.record_events(splitter.event_count - context.event_count)
+    context.event_count = splitter.event_count
+
+
 def make_error(failure: ExchangeFailed) -> RequestError:
     """Return the caller's error for a failed attempt."""
     if failure.kind.may_have_run:
--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -14,6 +14,9 @@
 
 # A quarter of the age at which reported loads are dropped.
 REPORT_INTERVAL_S = 0.35
+# Time from a report to the next one if other instances should hear of a change soon: a
+# few round trips between availability zones.
+HURRIED_INTERVAL_S = 0.05
 # Silence after which callers are no longer sent to an instance: four reports, so that a
 # lost datagram does not remove it.
 PEER_TIMEOUT_S = 1.5
@@ -246,6 +249,8 @@
         self._on_update = on_update
         self._clock = clock
         self._stopped = threading.Event()
+        # Set if the next report should not wait for its time.
+        self._hurried = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
         self._socket.settimeout(RECEIVE_TIMEOUT_S)
@@ -258,6 +263,11 @@
     def stop(self) -> None:
         """Stop sending and receiving."""
         self._stopped.set()
+        self._hurried.set()
+
+    def hurry(self) -> None:
+        """Send the next report soon."""
+        self._hurried.set()
 
     def send_now(self) -> None:
         """Send a report to the next receivers of the rotation."""
@@ -279,7 +289,10 @@
             except Exception as error:  # noqa: BLE001
                 # Without this thread, callers would not be sent to this instance.
                 log.error("unexpected error while reporting: {!r}", error)
-            self._clock.wait(self._stopped, REPORT_INTERVAL_S)
+            self._clock.wait(self._stopped, HURRIED_INTERVAL_S)
+            rest_s = REPORT_INTERVAL_S - HURRIED_INTERVAL_S
+            if self._clock.wait(self._hurried, rest_s):
+                self._hurried.clear()
 
     def _receive_all(self) -> None:
         while not self._stopped.is_set():
--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -1,6 +1,7 @@
 """Local copy of the platform's configuration, upstreams and withdrawn zones."""
 
 import threading
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -15,6 +16,9 @@
 # Time for which an announced departure is remembered; entries outlast their upstream by
 # far less.
 DEPARTURE_MEMORY_S = 600.0
+# Starts of upstreams that are remembered after their entries are gone; more than a
+# large fleet of upstreams has in an hour.
+STARTS_MAX = 4096
 
 
 class PlatformState:
@@ -36,6 +40,8 @@
         self._restarted: set[UpstreamId] = set()
         # Upstreams that announced their departure: their start, time of the news.
         self._departing: dict[UpstreamId, tuple[int, float]] = {}
+        # Upstreams with the time of their start that were ever listed, latest last.
+        self._listed_starts: OrderedDict[tuple[UpstreamId, int], None] = OrderedDict()
         self._withdrawn: frozenset[ZoneId] = frozenset()
         self._grace_until = 0.0
         self._current_at = 0.0
@@ -93,10 +99,17 @@
             self._pending_removals.pop(upstream.id, None)
             before = self._upstreams.get(upstream.id)
             self._upstreams[upstream.id] = upstream
+            self._listed_starts[upstream.id, upstream.started_at_ms] = None
+            if len(self._listed_starts) > STARTS_MAX:
+                self._listed_starts.popitem(last=False)
             if before and before.started_at_ms != upstream.started_at_ms:
                 self._restarted.add(upstream.id)
             return before
 
+    def has_listed(self, upstream: UpstreamId, started_at_ms: int) -> bool:
+        """Return whether this start of an upstream is or was listed."""
+        return (upstream, started_at_ms) in self._listed_starts
+
     def mark_departing(self, upstream: Upstream, now: float) -> bool:
         """Stop using an upstream that is leaving; return whether this is new.
 
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -29,6 +29,7 @@
 from fescueflow.gateway.logs import log_to_stdout
 from fescueflow.gateway.peers import PeerTable, PeerTransport
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.receivers import ReceiverChooser
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.relay import StoreRelay, decode_update
@@ -109,6 +110,13 @@
             peers=self._peers,
             clock=clock,
         )
+        self._quarantine = PromptQuarantine(
+            peers=self._peers,
+            platform_state=self._platform_state,
+            clock=clock,
+            metrics=self._metrics,
+            on_change=lambda: self._transport.hurry(),
+        )
         self._relay = StoreRelay(
             peers=self._peers,
             send=lambda host, data: self._transport.send(host, data),
@@ -122,6 +130,7 @@
             clock=clock,
             is_serving=self.is_ready,
             relay=self._relay,
+            quarantine=self._quarantine,
         )
         receivers = ReceiverChooser(
             peers=self._peers,
@@ -217,12 +226,14 @@
             loads=self._loads,
             clock=self._clock,
             metrics=self._metrics,
+            quarantine=self._quarantine,
         )
         forwarder = Forwarder(
             platform_state=self._platform_state,
             selector=self._selector,
             client=client,
             clock=self._clock,
+            quarantine=self._quarantine,
         )
         application = CallerApplication(
             forwarder=forwarder,
--- /dev/null
+++ b/src/fescueflow/gateway/quarantine.py
@@ -0,0 +1,365 @@
+"""Quarantine of prompt parts, as this instance and the reports of others see it."""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+import logbook
+
+from fescueflow.core import Clock, InstanceId, UpstreamId, choose_candidate
+from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.metrics import Metrics
+from fescueflow.routing import (
+    Crash,
+    CrashId,
+    CrashTable,
+    CrashUpdate,
+    PartId,
+    Prompt,
+    Quarantine,
+    ServiceId,
+    Upstream,
+    Verdict,
+    collect_evidence,
+    find_culprits,
+)
+
+# Time for which a change is in each report: three reports, so that a lost datagram does
+# not hide it.
+RELAY_AGE_MAX_S = 1.05
+# Parts whose progress is remembered; only parts that waited at a crash have an entry.
+PROGRESS_MAX = 1024
+# Parts with progress in one report, about 25 bytes each.
+REPORTED_PROGRESS_MAX = 64
+# Delay of a retry if a quarantine ends at no known time, in seconds.
+RETRY_AFTER_MAX_S = 600.0
+
+log = logbook.Logger("quarantine")
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressUpdate:
+    """A suspected part with which an answer made progress."""
+
+    service: ServiceId
+    part: PartId
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineReport:
+    """Crashes and progress that instances report to each other."""
+
+    crashes: tuple[CrashUpdate, ...] = ()
+    progress: tuple[ProgressUpdate, ...] = ()
+
+
+class PromptQuarantine:
+    """Decides which requests wait apart or are rejected; thread-safe.
+
+    Parameters
+    ----------
+    peers : PeerTable
+    platform_state : PlatformState
+    clock : Clock
+    metrics : Metrics
+    on_change : callable
+        Called when other instances should hear of a change soon.
+
+    Notes
+    -----
+    Without a crash, nothing is stored and each call returns at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: PeerTable,
+        platform_state: PlatformState,
+        clock: Clock,
+        metrics: Metrics,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._peers = peers
+        self._platform_state = platform_state
+        self._clock = clock
+        self._metrics = metrics
+        self._on_change = on_change
+        self._started_at = clock.monotonic()
+        self._lock = threading.Lock()
+        self._crashes = CrashTable()
+        self._suspects: dict[ServiceId, frozenset[PartId]] = {}
+        self._quarantines: dict[ServiceId, list[Quarantine]] = {}
+        # Time of the latest progress and of the latest report of it, by part.
+        self._progress: OrderedDict[tuple[ServiceId, PartId], float] = OrderedDict()
+        self._progress_changed_at: dict[tuple[ServiceId, PartId], float] = {}
+
+    def check(self, service: ServiceId, prompt: Prompt) -> Verdict:
+        """Return how a request with this prompt is handled.
+
+        Notes
+        -----
+        ``Verdict.TRY`` is returned once for each trial of a quarantine.
+        """
+        suspects = self._suspects.get(service)
+        parts = prompt.shared_parts
+        if not suspects or suspects.isdisjoint(parts):
+            return Verdict.ADMIT
+        with self._lock:
+            now = self._clock.monotonic()
+            for quarantine in self._quarantines.get(service, ()):
+                if quarantine.culprit.parts.issubset(parts):
+                    if now < quarantine.get_end():
+                        return self._check_trial(quarantine, now)
+        return Verdict.ISOLATE
+
+    def _check_trial(self, quarantine: Quarantine, now: float) -> Verdict:
+        trial_at = quarantine.get_next_trial_at()
+        if trial_at is None or now < trial_at or not self._owns_trial(quarantine, now):
+            return Verdict.REJECT
+        quarantine.trials += 1
+        log.info("trial of a quarantined prompt", extra=describe(quarantine))
+        return Verdict.TRY
+
+    def _owns_trial(self, quarantine: Quarantine, now: float) -> bool:
+        """Return whether this instance lets the next trial through.
+
+        Notes
+        -----
+        Of the instances that carry requests, the parts choose one. One that started
+        later does not know which trials were made.
+        """
+        if self._started_at > quarantine.culprit.last_at:
+            return False
+        names = [record.instance for record in self._peers.list_carrying(now)]
+        owner = choose_candidate(make_key(quarantine.culprit.parts), sorted(names))
+        return owner == self._peers.get_own_record().instance
+
+    def get_retry_after_s(self, service: ServiceId, prompt: Prompt) -> float:
+        """Return when a rejected request may be let through, in seconds from now."""
+        now = self._clock.monotonic()
+        parts = frozenset(prompt.shared_parts)
+        ends = [
+            quarantine.get_next_trial_at() or quarantine.get_end()
+            for quarantine in self._quarantines.get(service, ())
+            if quarantine.culprit.parts <= parts
+        ]
+        return min(RETRY_AFTER_MAX_S, max(1.0, max(ends, default=now) - now))
+
+    def get_isolation_key(self, service: ServiceId, prompt: Prompt) -> str:
+        """Return the key by which a suspected request's upstream is chosen."""
+        suspects = self._suspects.get(service, frozenset())
+        return make_key(suspects.intersection(prompt.shared_parts))
+
+    def has_crashed(self, upstream: Upstream) -> bool:
+        """Return whether this start of an upstream is known to have crashed."""
+        if not len(self._crashes):
+            return False
+        crash = self._crashes.find(make_crash_id(upstream))
+        return crash is not None and crash.is_credible
+
+    def record_crash(
+        self, upstream: Upstream, parts: Iterable[PartId], sent_at: float
+    ) -> None:
+        """Record a crash and the shared parts of a request that waited there.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        parts : iterable of PartId
+            None if no request waited for its first events.
+        sent_at : float
+            When the request was sent.
+        """
+        now = self._clock.monotonic()
+        crash, service = make_crash_id(upstream), upstream.service
+        with self._lock:
+            is_first = self._crashes.find(crash) is None
+            kept = self._choose_parts(service, parts)
+            changed = self._crashes.record(
+                crash, service, kept, max(0.0, now - sent_at), now
+            )
+            if changed:
+                self._update(service, now)
+        if is_first and changed:
+            log.warning("upstream crashed", extra={"upstream": str(upstream.id)})
+            self._metrics.count("upstream_crashes")
+        if changed:
+            self._on_change()
+
+    def _choose_parts(
+        self, service: ServiceId, parts: Iterable[PartId]
+    ) -> list[PartId]:
+        """Return the parts with those first that are suspected already."""
+        suspects = self._suspects.get(service, frozenset())
+        return sorted(set(parts), key=lambda part: (part not in suspects, part))
+
+    def record_progress(self, service: ServiceId, parts: Iterable[PartId]) -> None:
+        """Record that an answer with these shared parts has made progress."""
+        suspects = self._suspects.get(service)
+        if not suspects or suspects.isdisjoint(parts):
+            return
+        with self._lock:
+            now = self._clock.monotonic()
+            found = self._suspects.get(service, frozenset()).intersection(parts)
+            changed = self._store_progress(service, dict.fromkeys(found, now), now)
+        if changed:
+            self._on_change()
+
+    def record_answer(self, upstream: Upstream, sent_at: float) -> None:
+        """Record that an upstream answered a request completely."""
+        if not len(self._crashes):
+            return
+        with self._lock:
+            if self._crashes.refute(make_crash_id(upstream), sent_at):
+                log.info("crash refuted", extra={"upstream": str(upstream.id)})
+                self._update(upstream.service, self._clock.monotonic())
+
+    def merge(self, report: QuarantineReport, sender: InstanceId) -> list[UpstreamId]:
+        """Add what another instance reported.
+
+        Returns
+        -------
+        list of UpstreamId
+            Listed upstreams that are now known to have crashed.
+        """
+        if not report.crashes and not report.progress:
+            return []
+        now = self._clock.monotonic()
+        crashed = []
+        with self._lock:
+            progress: dict[ServiceId, dict[PartId, float]] = {}
+            for entry in report.progress:
+                progress.setdefault(entry.service, {})[entry.part] = now - entry.age_s
+            is_changed = [
+                self._store_progress(service, times, now)
+                for service, times in progress.items()
+            ]
+            changed: set[ServiceId] = set()
+            for update in report.crashes:
+                known = self._crashes.find(update.id)
+                is_known = self._platform_state.has_listed(*update.id)
+                if self._crashes.merge(update, sender, is_known, now):
+                    changed.add(update.service)
+                    if known is None and is_known:
+                        crashed.append(update.id.upstream)
+            for service in changed:
+                self._update(service, now)
+        if changed or any(is_changed):
+            self._on_change()
+        return crashed
+
+    def make_report(self, is_full: bool) -> QuarantineReport:
+        """Return what the next report tells other instances.
+
+        Parameters
+        ----------
+        is_full : bool
+            Whether it holds all that is known instead of recent changes, for
+            instances that have started or missed a report.
+        """
+        if not len(self._crashes) and not self._progress:
+            return QuarantineReport()
+        with self._lock:
+            now = self._clock.monotonic()
+            crashes = tuple(
+                self._describe_crash(crash, now)
+                for crash in self._crashes
+                if is_full or now - crash.changed_at <= RELAY_AGE_MAX_S
+            )
+            recent = [
+                ProgressUpdate(*key, max(0.0, now - self._progress[key]))
+                for key, changed_at in self._progress_changed_at.items()
+                if is_full or now - changed_at <= RELAY_AGE_MAX_S
+            ]
+            return QuarantineReport(crashes, tuple(recent[-REPORTED_PROGRESS_MAX:]))
+
+    def _describe_crash(self, crash: Crash, now: float) -> CrashUpdate:
+        suspects = self._suspects.get(crash.service, frozenset())
+        waits_s = {p: wait for p, wait in crash.waits_s.items() if p in suspects}
+        return CrashUpdate(crash.id, crash.service, max(0.0, now - crash.at), waits_s)
+
+    def _store_progress(
+        self, service: ServiceId, progress: Mapping[PartId, float], now: float
+    ) -> bool:
+        """Store when parts made progress; return whether one is not suspected any more.
+
+        Notes
+        -----
+        Only this is passed on. Otherwise, each instance would send each progress of
+        a popular part to all others.
+        """
+        suspects = self._suspects.get(service, frozenset())
+        for part, at in progress.items():
+            self._progress[service, part] = max(
+                at, self._progress.get((service, part), at)
+            )
+            self._progress.move_to_end((service, part))
+        self._update(service, now)
+        cleared = suspects - self._suspects.get(service, frozenset())
+        for part in cleared.intersection(progress):
+            self._progress_changed_at[service, part] = now
+        while len(self._progress) > PROGRESS_MAX:
+            oldest, _ = self._progress.popitem(last=False)
+            self._progress_changed_at.pop(oldest, None)
+        return not cleared.isdisjoint(progress)
+
+    def _update(self, service: ServiceId, now: float) -> None:
+        """Derive suspects and quarantines of a service from what is known."""
+        evidence = collect_evidence(service, self._crashes, self._progress)
+        before = self._quarantines.get(service, [])
+        known = [quarantine.culprit for quarantine in before]
+        found = [
+            Quarantine(culprit, count_trials(before, culprit.parts))
+            for culprit in find_culprits(evidence, service, known)
+        ]
+        for quarantine in found:
+            if not has_quarantine(before, quarantine.culprit.parts):
+                log.warning("prompt quarantined", extra=describe(quarantine))
+                self._metrics.count("prompt_quarantines")
+        for quarantine in before:
+            if not has_quarantine(found, quarantine.culprit.parts):
+                log.info("quarantine ended", extra=describe(quarantine))
+        # Services without suspects have no entry: reports may name any number of them.
+        self._suspects.pop(service, None)
+        self._quarantines.pop(service, None)
+        if evidence.by_part:
+            self._suspects[service] = frozenset(evidence.by_part)
+            self._quarantines[service] = found
+        kept = [q.culprit.crashes for all_ in self._quarantines.values() for q in all_]
+        self._crashes.trim(frozenset().union(*kept), now)
+
+
+def count_trials(quarantines: Iterable[Quarantine], parts: frozenset[PartId]) -> int:
+    """Return the trials made of quarantines with these parts and maybe others."""
+    return max((q.trials for q in quarantines if parts <= q.culprit.parts), default=0)
+
+
+def has_quarantine(quarantines: Iterable[Quarantine], parts: frozenset[PartId]) -> bool:
+    """Return whether there is a quarantine of exactly these parts."""
+    return any(q.culprit.parts == parts for q in quarantines)
+
+
+def make_crash_id(upstream: Upstream) -> CrashId:
+    """Return the id of a crash of this start of an upstream."""
+    return CrashId(upstream.id, upstream.started_at_ms)
+
+
+def make_key(parts: Iterable[PartId]) -> str:
+    """Return a text that identifies a set of parts."""
+    return ",".join(sorted(parts))
+
+
+def describe(quarantine: Quarantine) -> dict[str, str | int | list[str]]:
+    """Return the log fields of a quarantine."""
+    return {
+        "service": str(quarantine.culprit.service),
+        "prompt_parts": sorted(quarantine.culprit.parts),
+        "crashes": len(quarantine.culprit.crashes),
+        "trials": quarantine.trials,
+    }
+
+
+__all__ = ["ProgressUpdate", "PromptQuarantine", "QuarantineReport"]
--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -10,6 +10,7 @@
 from fescueflow.gateway.active_set import RateMeter
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.relay import Role, StoreRelay
 from fescueflow.gateway.report_codec import (
@@ -23,6 +24,8 @@
 # Reports of a reader from one that lists all instances to the next; the others list
 # those that callers are sent to. A fraction of the time for which instances are kept.
 READER_FULL_REPORTS = 8
+# Reports from one with all known crashes to the next.
+CRASH_FULL_REPORTS = 8
 
 log = logbook.Logger("reports")
 
@@ -40,6 +43,7 @@
         Returns whether callers may be sent to this instance.
     relay : StoreRelay
         Knows the reader of the zone, which tells the zone who serves.
+    quarantine : PromptQuarantine
     """
 
     def __init__(
@@ -51,7 +55,9 @@
         clock: Clock,
         is_serving: Callable[[], bool],
         relay: StoreRelay,
+        quarantine: PromptQuarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._peers = peers
         self._loads = loads
         self._selector = selector
@@ -88,12 +94,14 @@
         self.update_own_record()
         now = self._clock.monotonic()
         own = self._peers.get_own_record()
+        is_full = self._has_new_peer or own.sequence % CRASH_FULL_REPORTS == 1
         known = [r for r in self._list_known(now) if r.instance != own.instance]
         report = PeerReport(
             records=[own, *known],
             loads=self._loads.list_own_loads(),
             holder_updates=self._selector.take_holder_updates(),
             counts=self._loads.list_counts(now),
+            quarantine=self._quarantine.make_report(is_full),
         )
         return encode_report(report, now)
 
@@ -141,9 +149,12 @@
                 )
                 self._has_new_peer = True
                 self._selector.announce_all_holders()
-        self._loads.set_peer_loads(report.records[0].instance, report.loads, now)
+        sender = report.records[0].instance
+        self._loads.set_peer_loads(sender, report.loads, now)
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
+        crashed = self._quarantine.merge(report.quarantine, sender)
+        self._selector.mark_crashed(crashed)
 
 
 __all__ = ["Reporter"]
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -26,6 +26,7 @@
     decide_admission,
     is_copy_worthwhile,
     measure_balance,
+    rank_isolated,
     rank_placements,
     select_in_time,
 )
@@ -33,6 +34,9 @@
 # Delay after which a rejected caller may retry: an upstream that was excluded after
 # failures is tried again after this time.
 RETRY_AFTER_MS = 500
+# Time for which an upstream is excluded that another instance saw crash. Its entry
+# expires after three heartbeats; if the report is wrong, it is used again sooner.
+REPORTED_CRASH_EXCLUSION_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -138,10 +142,18 @@
         with self._lock:
             self._health.record_success(upstream)
 
-    def record_failure(self, upstream: UpstreamId) -> bool:
+    def record_failure(self, upstream: UpstreamId, is_down: bool = False) -> bool:
         """Record a failed attempt; return whether the upstream is now excluded."""
         with self._lock:
-            return self._health.record_failure(upstream, self._clock.monotonic())
+            now = self._clock.monotonic()
+            return self._health.record_failure(upstream, now, is_down)
+
+    def mark_crashed(self, upstreams: Iterable[UpstreamId]) -> None:
+        """Exclude upstreams that others saw crash until they are tried again."""
+        with self._lock:
+            excluded_until = self._clock.monotonic() + REPORTED_CRASH_EXCLUSION_S
+            for upstream in upstreams:
+                self._health.exclude(upstream, excluded_until)
 
     def mark_replaced(self, upstream: UpstreamId) -> None:
         """Exclude an upstream whose address another server uses now.
@@ -194,9 +206,13 @@
         prompt: Prompt,
         tried: set[UpstreamId],
         remaining_s: float,
+        isolation_key: str | None = None,
     ) -> Selection:
         """Return an upstream for the request and count the request there.
 
+        ``isolation_key`` holds the suspected parts of a request under which upstreams
+        may crash.
+
         Raises
         ------
         Overloaded
@@ -226,6 +242,8 @@
                 self._loads.get_mean_duration_s(service) * 1000,
             )
             in_time = self._filter_by_deadline(placements, remaining_s)
+            if isolation_key is not None:
+                in_time = rank_isolated(in_time, isolation_key)
             chosen = self._apply_cold_start_limit(in_time, now)
             upstream = chosen.candidate.upstream
             is_held = any(source.id == upstream.id for source in sources)
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -11,6 +11,7 @@
     predict,
     select_in_time,
 )
+from fescueflow.routing.crashes import Crash, CrashId, CrashTable, CrashUpdate
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
@@ -44,6 +45,15 @@
     parse_prompt,
     rank_placements,
 )
+from fescueflow.routing.quarantine import (
+    Culprit,
+    Quarantine,
+    Verdict,
+    collect_evidence,
+    count_independent,
+    find_culprits,
+    rank_isolated,
+)
 from fescueflow.routing.reports import (
     LoadCount,
     LoadReport,
@@ -63,6 +73,11 @@
     "CallerLimits",
     "Candidate",
     "ColdStartLimiter",
+    "Crash",
+    "CrashId",
+    "CrashTable",
+    "CrashUpdate",
+    "Culprit",
     "Customer",
     "EngineTraits",
     "HolderTable",
@@ -74,6 +89,7 @@
     "Placement",
     "Prediction",
     "Prompt",
+    "Quarantine",
     "RetryBudget",
     "Route",
     "RouteId",
@@ -86,12 +102,16 @@
     "UpstreamHealth",
     "UpstreamLoad",
     "UpstreamState",
+    "Verdict",
     "blend_reports",
     "choose_service",
+    "collect_evidence",
     "correct_running",
+    "count_independent",
     "decide_admission",
     "estimate_cost_ms",
     "find_balanced",
+    "find_culprits",
     "find_customer",
     "find_holder",
     "find_route",
@@ -100,6 +120,7 @@
     "measure_balance",
     "parse_prompt",
     "predict",
+    "rank_isolated",
     "rank_placements",
     "select_in_time",
 ]
--- a/src/fescueflow/routing/health.py
+++ b/src/fescueflow/routing/health.py
@@ -62,12 +62,22 @@
             )
             record.failure_rate *= 1 - FAILURE_RATE_WEIGHT
 
-    def record_failure(self, upstream: UpstreamId, now: float) -> bool:
-        """Record a failed attempt; return whether the upstream is excluded now."""
+    def record_failure(
+        self, upstream: UpstreamId, now: float, is_down: bool = False
+    ) -> bool:
+        """Record a failed attempt; return whether the upstream is excluded now.
+
+        Parameters
+        ----------
+        upstream : UpstreamId
+        now : float
+        is_down : bool, optional
+            Whether it refused a connection; it is then excluded at once.
+        """
         record = self._records.setdefault(upstream, FailureRecord())
         record.consecutive_failures += 1
         record.failure_rate += FAILURE_RATE_WEIGHT * (1 - record.failure_rate)
-        if record.consecutive_failures < FAILURES_MAX:
+        if record.consecutive_failures < FAILURES_MAX and not is_down:
             return False
         record.exclusion_s = min(
             EXCLUSION_MAX_S, max(EXCLUSION_MIN_S, record.exclusion_s * 2)
--- /dev/null
+++ b/src/fescueflow/routing/quarantine.py
@@ -0,0 +1,282 @@
+"""Quarantine of prompt parts under which upstreams crash.
+
+Load pattern: a small share of the requests of one kind holds a part that ends each
+upstream that begins to answer it (a query of death). Retries and repeats take it to the
+next upstream, and callers lose far more by the streams and caches that end with each
+upstream than by these requests.
+
+A part is suspected while a request with it waited at a crashed upstream and no answer
+with it has made progress since. It is quarantined after several crashes that can't have
+a common cause. A popular part is on every upstream that crashes, but answers with it
+make progress all the time.
+"""
+
+from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from fescueflow.core import choose_candidate
+from fescueflow.routing.crashes import Crash, CrashId
+from fescueflow.routing.model import PartId, ServiceId
+from fescueflow.routing.placement import Placement
+
+# Independent crashes after which a part is quarantined if no other upstream crashed
+# meanwhile, and the most that are required. By the rules of the platform, the fifth
+# crash is the last one before requests with the part count.
+CRASHES_MIN = 3
+CRASHES_REQUIRED_MAX = 5
+# Crashes of a part that no other quarantined part explains.
+UNEXPLAINED_MIN = 2
+# Inaccuracy of the times of two crashes that different instances saw, in seconds: a
+# round trip between availability zones.
+CLOCK_TOLERANCE_S = 0.02
+# Times after the last crash at which one request with a quarantined part is let
+# through, in seconds. With one to spare, they stay below the three requests that the
+# rules allow until the end of the day.
+TRIAL_DELAYS_S = (30.0, 600.0)
+# Time after the last crash at which a quarantine ends without a trial: a day.
+QUARANTINE_S = 86_400.0
+# Of the upstreams, the fraction with the fewest requests that gets suspected ones.
+ISOLATION_FRACTION = 1 / 3
+
+
+class Verdict(Enum):
+    """How a request with certain prompt parts is handled."""
+
+    ADMIT = "admit"
+    # Suspected: sent to an upstream where a crash costs least.
+    ISOLATE = "isolate"
+    # Quarantined, and let through to find out whether the quarantine is right.
+    TRY = "try"
+    REJECT = "reject"
+
+
+@dataclass(frozen=True, slots=True)
+class Culprit:
+    """Parts that explain a series of crashes.
+
+    ``parts`` has several entries if the same requests hold all of them, so that it is
+    not known which one is at fault; a request is rejected if it holds all.
+    """
+
+    service: ServiceId
+    parts: frozenset[PartId]
+    crashes: frozenset[CrashId]
+    last_at: float
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """A quarantine of a culprit's parts and the trials that this instance made."""
+
+    culprit: Culprit
+    trials: int = 0
+
+    def get_next_trial_at(self) -> float | None:
+        """Return when the next request may be let through; ``None`` if never."""
+        if self.trials >= len(TRIAL_DELAYS_S):
+            return None
+        return self.culprit.last_at + TRIAL_DELAYS_S[self.trials]
+
+    def get_end(self) -> float:
+        """Return when the quarantine ends without a trial."""
+        return self.culprit.last_at + QUARANTINE_S
+
+
+@dataclass(slots=True)
+class EvidenceSet:
+    """Crashes of one service, and those at which each suspected part waited.
+
+    ``progressed`` holds the parts with which an answer ever made progress, also before
+    the crashes.
+    """
+
+    crashes: list[Crash]
+    by_part: dict[PartId, list[Crash]] = field(default_factory=dict)
+    progressed: frozenset[PartId] = frozenset()
+
+    def get_ids(self, part: PartId) -> frozenset[CrashId]:
+        """Return the crashes at which a part waited."""
+        return frozenset(crash.id for crash in self.by_part[part])
+
+
+def collect_evidence(
+    service: ServiceId,
+    crashes: Iterable[Crash],
+    progress: Mapping[tuple[ServiceId, PartId], float],
+) -> EvidenceSet:
+    """Return the crashes of a service, by part and in order of time.
+
+    Parameters
+    ----------
+    service : ServiceId
+    crashes : iterable of Crash
+    progress : mapping of (ServiceId, PartId) to float
+        When an answer with a part last made progress. It clears earlier crashes.
+    """
+    found = sorted(
+        (c for c in crashes if c.service == service and c.is_credible),
+        key=lambda crash: (crash.at, crash.id),
+    )
+    progressed = frozenset(part for name, part in progress if name == service)
+    evidence = EvidenceSet(found, progressed=progressed)
+    for crash in found:
+        for part in crash.waits_s:
+            if progress.get((service, part), float("-inf")) < crash.at:
+                evidence.by_part.setdefault(part, []).append(crash)
+    return evidence
+
+
+def count_independent(part: PartId, crashes: Sequence[Crash]) -> int:
+    """Return the number of crashes that can't have a common cause.
+
+    Parameters
+    ----------
+    part : PartId
+    crashes : sequence of Crash
+        Crashes at which a request with the part waited, in order of time.
+
+    Notes
+    -----
+    A zone that loses power, a release or a broken network ends several upstreams at
+    once. A crash is independent of an earlier one if the request was sent there after
+    the earlier one: the upstream had survived whatever caused that.
+    """
+    count, last_at = 0, float("-inf")
+    for crash in crashes:
+        if crash.get_sent_at(part) >= last_at - CLOCK_TOLERANCE_S:
+            count += 1
+            last_at = crash.at
+    return count
+
+
+def count_required(
+    part: PartId, evidence: EvidenceSet, explained: Container[CrashId]
+) -> int:
+    """Return the independent crashes that quarantine a part.
+
+    Notes
+    -----
+    Upstreams that crash without the part, too, are a sign of another cause, and make
+    it likelier that the part was there by chance. Later crashes don't count, so that
+    they don't end a quarantine. A part that was ever answered takes the most.
+    """
+    if part in evidence.progressed:
+        return CRASHES_REQUIRED_MAX
+    crashes, ids = evidence.by_part[part], evidence.get_ids(part)
+    others = sum(
+        crashes[0].at <= crash.at <= crashes[-1].at
+        and crash.id not in ids
+        and crash.id not in explained
+        for crash in evidence.crashes
+    )
+    return min(CRASHES_REQUIRED_MAX, CRASHES_MIN + others)
+
+
+def is_sufficient(
+    part: PartId, evidence: EvidenceSet, explained: Container[CrashId] = frozenset()
+) -> bool:
+    """Return whether the crashes at which a part waited quarantine it.
+
+    Parameters
+    ----------
+    part : PartId
+    evidence : EvidenceSet
+    explained : container of CrashId, optional
+        Crashes under other parts. Some of the part's crashes must be others: else, it
+        is only seen beside these parts.
+    """
+    crashes = evidence.by_part[part]
+    unexplained = sum(crash.id not in explained for crash in crashes)
+    return (
+        unexplained >= UNEXPLAINED_MIN
+        and len(crashes) >= CRASHES_MIN
+        and count_independent(part, crashes)
+        >= count_required(part, evidence, explained)
+    )
+
+
+def is_dominated(part: PartId, evidence: EvidenceSet) -> bool:
+    """Return whether a part that never made progress explains more crashes."""
+    ids = evidence.get_ids(part)
+    return any(
+        ids < evidence.get_ids(other) and is_sufficient(other, evidence)
+        for other in evidence.by_part.keys() - evidence.progressed
+    )
+
+
+def find_culprits(
+    evidence: EvidenceSet, service: ServiceId, known: Iterable[Culprit] = ()
+) -> Iterator[Culprit]:
+    """Yield the parts that explain crashes, those of most crashes first.
+
+    Parameters
+    ----------
+    evidence : EvidenceSet
+    service : ServiceId
+    known : iterable of Culprit, optional
+        The culprits so far. They come first while their crashes have no better
+        explanation, so that two faulty parts with common crashes don't take turns.
+    """
+    known_parts = frozenset(
+        part
+        for culprit in known
+        for part in culprit.parts & evidence.by_part.keys()
+        if len(evidence.by_part[part]) >= CRASHES_MIN
+        and not is_dominated(part, evidence)
+    )
+    ranked = sorted(
+        evidence.by_part,
+        key=lambda part: (
+            part not in known_parts,
+            part in evidence.progressed,
+            -len(evidence.by_part[part]),
+            part,
+        ),
+    )
+    explained: set[CrashId] = set()
+    for found in ranked:
+        ids = evidence.get_ids(found)
+        if ids <= explained:
+            continue
+        if found in known_parts or is_sufficient(found, evidence, explained):
+            parts = (p for p in evidence.by_part if evidence.get_ids(p) == ids)
+            last_at = evidence.by_part[found][-1].at
+            yield Culprit(service, frozenset(parts), ids, last_at)
+            explained |= ids
+
+
+def rank_isolated(placements: Sequence[Placement], key: str) -> list[Placement]:
+    """Return the placements of a suspected request, where a crash costs least first.
+
+    Parameters
+    ----------
+    placements : sequence of Placement
+        Not empty.
+    key : str
+        The suspected parts. Requests with other ones mostly go elsewhere, so that
+        a sound request does not wait beside the same culprit twice.
+
+    Notes
+    -----
+    An upstream with few requests loses few streams. One that holds the prompt's prefix
+    comes after the others, because the prefix would be lost.
+    """
+    by_cost = sorted(
+        placements, key=lambda p: (round(p.candidate.load.running), p.is_cached)
+    )
+    count = max(1, round(len(by_cost) * ISOLATION_FRACTION))
+    names = [placement.candidate.upstream.id for placement in by_cost[:count]]
+    chosen = choose_candidate(key, names)
+    return sorted(by_cost, key=lambda p: p.candidate.upstream.id != chosen)
+
+
+__all__ = [
+    "Culprit",
+    "Quarantine",
+    "Verdict",
+    "collect_evidence",
+    "count_independent",
+    "find_culprits",
+    "rank_isolated",
+]
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -25,6 +25,7 @@
     choose_addresses,
 )
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.receivers import ReceiverChooser
 from fescueflow.gateway.relay import Role, StoreRelay, StoreUpdate
 from fescueflow.gateway.reporting import Reporter
@@ -106,12 +107,20 @@
             peers=self.peers,
             clock=clock,
         )
+        self.quarantine = PromptQuarantine(
+            peers=self.peers,
+            platform_state=self.platform_state,
+            clock=clock,
+            metrics=Metrics(),
+            on_change=lambda: None,
+        )
         self.client = AttemptClient(
             pool=None,
             selector=self.selector,
             loads=self.loads,
             clock=clock,
             metrics=Metrics(),
+            quarantine=self.quarantine,
         )
         self.relay = StoreRelay(
             peers=self.peers,
@@ -126,6 +135,7 @@
             clock=clock,
             is_serving=lambda: True,
             relay=self.relay,
+            quarantine=self.quarantine,
         )
         self.rotation = ReceiverRotation(SeededRandomSource(seed + number))
         self.hosts = sorted(peer for peer in peers if peer != self.name)
--- a/tests/gateway/relay_fleet.py
+++ b/tests/gateway/relay_fleet.py
@@ -8,6 +8,7 @@
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.peers import REPORT_INTERVAL_S, PeerTable
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.receivers import ReceiverChooser
 from fescueflow.gateway.relay import Role, StoreRelay, decode_update
 from fescueflow.gateway.reporting import Reporter
@@ -104,6 +105,9 @@
     def announce_all_holders(self):
         """Do nothing."""
 
+    def mark_crashed(self, upstreams):
+        """Do nothing."""
+
 
 class RelayInstance:
     """One instance with its watch and relay."""
@@ -141,6 +145,13 @@
             clock=self.clock,
             is_serving=lambda: True,
             relay=self.relay,
+            quarantine=PromptQuarantine(
+                peers=self.peers,
+                platform_state=self.state,
+                clock=self.clock,
+                metrics=Metrics(),
+                on_change=lambda: None,
+            ),
         )
         self.receivers = ReceiverChooser(
             peers=self.peers,
--- /dev/null
+++ b/tests/gateway/test_quarantine.py
@@ -0,0 +1,142 @@
+"""Tests of the quarantine of one instance: reports, trials and bounds."""
+
+import unittest
+
+from fescueflow.core import InstanceId
+from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.quarantine import (
+    ProgressUpdate,
+    PromptQuarantine,
+    QuarantineReport,
+)
+from fescueflow.gateway.report_codec import PeerReport, decode_report, encode_report
+from fescueflow.metrics import Metrics
+from fescueflow.routing import Prompt, Verdict
+from fescueflow.routing.quarantine import TRIAL_DELAYS_S
+from tests.fakes import FakeClock
+from tests.gateway.builders import make_peer
+from tests.routing.builders import ENGINES, make_upstream
+from tests.routing.test_quarantine import make_update
+
+FATAL = Prompt(shared_parts=("first", "fatal"))
+SOUND = Prompt(shared_parts=("first", "other"))
+SENDER = InstanceId("edge-9")
+
+
+class QuarantineTestCase(unittest.TestCase):
+    """Several instances with one clock and the same listed upstreams."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.upstreams = [make_upstream(f"u{n}", started_at_ms=1) for n in range(6)]
+        names = [f"edge-{n}" for n in range(4)]
+        self.instances = [self.make_instance(name, names) for name in names]
+
+    def make_instance(self, name, names):
+        state = PlatformState()
+        state.replace_upstreams(self.upstreams, self.clock.monotonic())
+        peers = PeerTable(make_peer(name, last_seen_at=self.clock.monotonic()))
+        for other in names:
+            peers.merge(make_peer(other, last_seen_at=self.clock.monotonic() + 1e6))
+        return PromptQuarantine(
+            peers=peers,
+            platform_state=state,
+            clock=self.clock,
+            metrics=Metrics(),
+            on_change=lambda: None,
+        )
+
+    def crash(self, instances, count=3, parts="fatal"):
+        for number in range(count):
+            self.clock.advance(0.5)
+            update = make_update(number, 0.0, parts)
+            for instance in instances:
+                instance.merge(QuarantineReport((update,)), SENDER)
+
+    def check_all(self, prompt):
+        return [instance.check(ENGINES, prompt) for instance in self.instances]
+
+
+class TrialTest(QuarantineTestCase):
+    """Guards against a trial by each instance, and a quarantine that never ends."""
+
+    def test_trials_of_the_whole_fleet_and_the_rest_of_the_day(self):
+        self.crash(self.instances)
+        late = self.make_instance("edge-1", ["edge-0", "edge-2", "edge-3"])
+        self.crash([late], count=0)
+        late.merge(self.instances[0].make_report(True), SENDER)
+        self.instances.append(late)
+        trials = 0
+        for _ in range(40):
+            self.assertIn(Verdict.REJECT, self.check_all(FATAL))
+            self.clock.advance(60.0)
+            trials += self.check_all(FATAL).count(Verdict.TRY)
+        self.assertEqual(trials, len(TRIAL_DELAYS_S))
+
+    def test_answered_trial_ends_the_quarantine_everywhere(self):
+        self.crash(self.instances)
+        self.clock.advance(TRIAL_DELAYS_S[0])
+        self.assertEqual(self.check_all(FATAL).count(Verdict.TRY), 1)
+        self.instances[2].record_progress(ENGINES, FATAL.shared_parts)
+        report = self.instances[2].make_report(False)
+        for instance in self.instances:
+            instance.merge(report, SENDER)
+        self.assertEqual(self.check_all(FATAL), [Verdict.ADMIT] * 4)
+
+    def test_callers_return_when_something_can_have_changed(self):
+        self.crash(self.instances)
+        self.clock.advance(10.0)
+        delay_s = self.instances[0].get_retry_after_s(ENGINES, FATAL)
+        self.assertAlmostEqual(delay_s, TRIAL_DELAYS_S[0] - 10.0)
+
+
+class ReportTest(QuarantineTestCase):
+    """Guards against requests that are rejected for what a false report says."""
+
+    def test_crash_of_an_upstream_that_answers(self):
+        self.crash(self.instances[:1])
+        self.assertEqual(self.check_all(FATAL)[0], Verdict.REJECT)
+        self.clock.advance(0.1)
+        for upstream in self.upstreams:
+            self.instances[0].record_answer(upstream, self.clock.monotonic())
+        self.assertEqual(self.check_all(FATAL)[0], Verdict.ADMIT)
+        self.crash(self.instances[:1])
+        self.assertEqual(self.check_all(FATAL)[0], Verdict.ADMIT)
+
+    def test_unknown_upstreams_need_two_senders(self):
+        """An instance that starts after the crashes still learns of them."""
+        self.upstreams = []
+        joined = self.make_instance("edge-5", ["edge-0"])
+        self.crash([joined])
+        self.assertIs(joined.check(ENGINES, FATAL), Verdict.ADMIT)
+        report = self.instances[0]
+        self.crash([report], count=3)
+        joined.merge(report.make_report(True), InstanceId("edge-0"))
+        self.assertIs(joined.check(ENGINES, FATAL), Verdict.REJECT)
+
+    def test_popular_part_in_a_forged_report(self):
+        self.crash(self.instances, parts="first")
+        self.assertEqual(self.check_all(SOUND), [Verdict.REJECT] * 4)
+        # A stream that began before goes on.
+        self.instances[1].record_progress(ENGINES, SOUND.shared_parts)
+        self.assertIs(self.instances[1].check(ENGINES, SOUND), Verdict.ADMIT)
+
+    def test_report_is_read_as_it_was_sent(self):
+        sent = QuarantineReport(
+            (make_update(1, 0.25, "a b"),), (ProgressUpdate(ENGINES, "c", 0.5),)
+        )
+        report = PeerReport([make_peer()], quarantine=sent)
+        self.assertEqual(decode_report(encode_report(report, 0.0), 0.0), report)
+
+    def test_nothing_is_kept_or_sent_without_a_crash(self):
+        quarantine = self.instances[0]
+        for number in range(1000):
+            quarantine.record_progress(ENGINES, (f"p{number}",))
+            quarantine.record_answer(self.upstreams[0], 0.0)
+        self.assertEqual(quarantine.make_report(True), QuarantineReport())
+        self.assertFalse(quarantine._progress or quarantine._suspects)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/routing/test_quarantine.py
@@ -0,0 +1,153 @@
+"""Tests of the evidence on which prompt parts are quarantined."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescueflow.core import InstanceId
+from fescueflow.routing import (
+    CrashId,
+    CrashTable,
+    CrashUpdate,
+    collect_evidence,
+    find_culprits,
+    rank_isolated,
+)
+from fescueflow.routing.crashes import CRASHES_MAX, PARTS_PER_CRASH_MAX
+from fescueflow.routing.placement import Placement
+from tests.routing.builders import ENGINES, make_candidate
+
+NOW = 100.0
+
+
+def make_update(number, age_s, parts, wait_s=0.1):
+    """Return a crash of upstream ``number``; ``parts`` waited there."""
+    waits_s = dict.fromkeys(parts.split(), wait_s)
+    return CrashUpdate(CrashId(f"u{number}", 1), ENGINES, age_s, waits_s)
+
+
+def find_parts(updates, progress=None):
+    """Return the sets of parts that explain the crashes."""
+    table = CrashTable()
+    for update in updates:
+        table.merge(update, InstanceId("i1"), True, NOW)
+    cleared = {(ENGINES, part): at for part, at in (progress or {}).items()}
+    evidence = collect_evidence(ENGINES, table, cleared)
+    return [set(culprit.parts) for culprit in find_culprits(evidence, ENGINES)]
+
+
+SERIES = [make_update(n, 9.0 - n, f"first d{n} fatal") for n in range(3)]
+
+
+class EvidenceTest(unittest.TestCase):
+    """Guards against sound parts that are quarantined and faulty ones that aren't."""
+
+    def test_part_that_waited_at_each_crash(self):
+        self.assertEqual(find_parts(SERIES, {"first": 99.0}), [{"fatal"}])
+        self.assertEqual(find_parts(SERIES[:2], {"first": 99.0}), [])
+
+    def test_progress_between_crashes(self):
+        self.assertEqual(find_parts(SERIES, {"first": 99.0, "fatal": 92.5}), [])
+
+    def test_progress_long_before(self):
+        """A part that was answered once takes the most crashes."""
+        before = {"first": 99.0, "fatal": 90.0}
+        self.assertEqual(find_parts(SERIES, before), [])
+        more = [make_update(n, 9.0 - n, "fatal") for n in (3, 4)]
+        self.assertEqual(find_parts([*SERIES, *more], before), [{"fatal"}])
+
+    def test_crashes_with_a_common_cause(self):
+        """A zone lost its power: no request was sent after the first crash."""
+        at_once = [make_update(n, 5.0 + n / 100, "rare", 0.3) for n in range(9)]
+        self.assertEqual(find_parts(at_once), [])
+
+    def test_other_crashes_meanwhile(self):
+        others = [make_update(10 + n, 8.5 - n, "") for n in range(2)]
+        self.assertEqual(find_parts([*SERIES, *others], {"first": 99.0}), [])
+        more = [make_update(n, 9.0 - n, "fatal") for n in (3, 4)]
+        found = find_parts([*SERIES, *others, *more], {"first": 99.0})
+        self.assertEqual(found, [{"fatal"}])
+
+    def test_crash_after_the_last_one_does_not_end_a_quarantine(self):
+        later = make_update(9, 0.5, "other")
+        self.assertEqual(find_parts([*SERIES, later], {"first": 99.0}), [{"fatal"}])
+
+    def test_part_only_seen_beside_another(self):
+        """Neither is quarantined alone until an answer or a crash tells them apart."""
+        pairs = [make_update(n, 9.0 - n, "beside fatal") for n in range(3)]
+        self.assertEqual(find_parts(pairs), [{"beside", "fatal"}])
+        self.assertEqual(find_parts(pairs, {"beside": 99.0}), [{"fatal"}])
+        alone = make_update(5, 1.0, "fatal")
+        self.assertEqual(find_parts([*pairs, alone]), [{"fatal"}])
+
+    def test_two_faulty_parts(self):
+        second = [make_update(10 + n, 8.5 - n, "worse") for n in range(5)]
+        more = [make_update(n, 9.0 - n, "fatal") for n in (3, 4)]
+        found = find_parts([*SERIES, *more, *second], {"first": 99.0})
+        self.assertCountEqual(found, [{"fatal"}, {"worse"}])
+
+    @given(st.randoms(use_true_random=False))
+    def test_lost_repeated_and_reordered_reports(self, random):
+        """Each crash is heard at least once, by one of several ways."""
+        heard = SERIES + random.choices(SERIES, k=5)
+        random.shuffle(heard)
+        self.assertEqual(find_parts(heard, {"first": 99.0}), [{"fatal"}])
+        partly = [
+            make_update(n, 9.0 - n, part)
+            for n in range(3)
+            for part in random.sample(["fatal", "first", "fatal first"], 3)
+        ]
+        self.assertEqual(find_parts(partly, {"first": 99.0}), [{"fatal"}])
+
+
+class CrashTableTest(unittest.TestCase):
+    """Guards against memory that grows with what callers and reports name."""
+
+    def test_bounds(self):
+        table = CrashTable()
+        for number in range(3 * CRASHES_MAX):
+            parts = " ".join(f"p{number}-{n}" for n in range(2 * PARTS_PER_CRASH_MAX))
+            update = make_update(number, 1.0, parts)
+            table.merge(update, InstanceId("i1"), True, NOW)
+            table.trim(frozenset({CrashId("u0", 1)}), NOW)
+        self.assertEqual(len(table), CRASHES_MAX)
+        self.assertIsNotNone(table.find(CrashId("u0", 1)))
+        self.assertLessEqual(max(len(c.waits_s) for c in table), PARTS_PER_CRASH_MAX)
+
+    def test_answer_refutes_a_crash(self):
+        table = CrashTable()
+        update = make_update(1, 1.0, "rare")
+        table.merge(update, InstanceId("i1"), True, NOW)
+        self.assertFalse(table.refute(update.id, NOW - 1.5))
+        self.assertTrue(table.refute(update.id, NOW - 0.5))
+        self.assertFalse(table.merge(update, InstanceId("i2"), True, NOW))
+
+    def test_relayed_crash_does_not_move(self):
+        """Each relay adds its delay, which must not make crashes seem later."""
+        table = CrashTable()
+        for delay_s in (0.0, 0.2, 3.0):
+            update = make_update(1, 1.0 - delay_s / 3, "fatal")
+            table.merge(update, InstanceId("i1"), True, NOW)
+        self.assertEqual(table.find(CrashId("u1", 1)).at, NOW - 1.0)
+
+
+class IsolationTest(unittest.TestCase):
+    """Guards against suspected requests beside many streams or beside each other."""
+
+    def test_upstream_with_few_streams_and_without_the_prefix(self):
+        placements = [
+            Placement(make_candidate(f"u{n}", running=n // 2), 1.0, n == 0)
+            for n in range(6)
+        ]
+        first = {
+            rank_isolated(placements, f"part{n}")[0].candidate.upstream.id
+            for n in range(40)
+        }
+        self.assertEqual(first, {"u0", "u1"})
+        two = rank_isolated(placements[:2], "part")
+        self.assertEqual([p.candidate.upstream.id for p in two], ["u1", "u0"])
+
+
+if __name__ == "__main__":
+    unittest.main()
