Treat streams that end inside an event as broken off

Callers saw a stream whose last event was cut as if it were complete, and an empty 200 where the upstream had ended before the first event.

Cause: an answer with neither a length nor chunks counted as complete at the end of its connection, and what was left of an event was passed on. Change: such a stream is a lost connection if it ends inside an event or before the first one; it goes on elsewhere, or the caller's stream is visibly cut. One that ends after an event is complete, one that is reset is not. Result: test_end_inside_an_event and test_end_before_the_first_event failed before; the ends after the last event, resets and answers that are no streams passed before and after.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -14,7 +14,7 @@
     UpstreamFailed,
 )
 from fescueflow.gateway.attempts import Attempt, AttemptClient
-from fescueflow.gateway.exchange import ExchangeFailed
+from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.request_logs import (
@@ -258,6 +258,8 @@
             if events:
                 record_events(context, attempt, splitter)
                 return events
+        if not attempt.exchange.has_marked_end:
+            raise ConnectionLost("the stream ended before its first event")
         return splitter.take_remainder()
 
     def _relay(
@@ -275,8 +277,11 @@
                         yield events
                         # The caller's time to take the events does not count.
                         attempt.mark_progress()
+                rest = splitter.take_remainder()
+                if rest.strip() and not attempt.exchange.has_marked_end:
+                    raise ConnectionLost("the stream ended inside an event")
                 attempt.finish()
-                if rest := splitter.take_remainder():
+                if rest:
                     yield rest
                 log_stream_end(context, times, self._clock.monotonic())
                 return
--- /dev/null
+++ b/tests/gateway/test_unmarked_ends.py
@@ -0,0 +1,76 @@
+"""Tests of answers whose end only the end of the connection shows."""
+
+import http.client
+import socket
+
+from tests.gateway.fake_servers import make_event
+from tests.gateway.gateway_case import GatewayTestCase
+
+EVENTS = b"".join(make_event(n) for n in range(1, 4))
+
+
+def send_unmarked(handler, data, resets=False, status=200):
+    """Send an answer with neither a length nor chunks and end the connection."""
+    handler.send_response(status)
+    for name, value in handler.make_seal():
+        handler.send_header(name, value)
+    handler.send_header("Content-Type", "text/event-stream")
+    handler.end_headers()
+    handler.wfile.write(data)
+    handler.close_connection = True
+    if resets:
+        handler.reset_connection()
+    else:
+        # The reading side would otherwise be reset for unread data.
+        handler.connection.shutdown(socket.SHUT_WR)
+
+
+def send_rest(handler):
+    """Send the events after the last one that the instance has."""
+    handler.start_stream()
+    for number in range(int(handler.headers.get("Last-Event-Id", 0)) + 1, 4):
+        handler.send_event(number)
+    handler.end_stream()
+
+
+class UnmarkedEndTest(GatewayTestCase):
+    """Guards against broken answers that look complete, and complete ones refused."""
+
+    def cut(self, data, resets=False):
+        return lambda handler: send_unmarked(handler, data, resets)
+
+    def check_resumed(self, script):
+        """Check that a stream goes on elsewhere, whichever upstream breaks off."""
+        for first in (0, 1):
+            scripts = [script, send_rest]
+            self.set_script(scripts[first], scripts[1 - first])
+            self.assertEqual(self.call("/stream/1")[2], EVENTS)
+
+    def test_end_after_the_last_event(self):
+        self.set_script(*[self.cut(EVENTS)] * 2)
+        for target in ("/stream/1", "/single/1"):
+            self.assertEqual(self.call(target)[2], EVENTS)
+        self.assertEqual(sum(self.count_arrivals()), 2)
+
+    def test_end_inside_an_event(self):
+        for size in (1, 9, len(make_event(2)) - 1):
+            self.check_resumed(self.cut(make_event(1) + make_event(2)[:size]))
+        self.set_script(*[self.cut(make_event(1) + b"id: 2\nda")] * 2)
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.call("/single/1")
+        self.assertEqual(caught.exception.partial, make_event(1))
+
+    def test_end_before_the_first_event(self):
+        for data in (b"", b"id: 1\nda"):
+            self.check_resumed(self.cut(data))
+            self.set_script(*[self.cut(data)] * 2)
+            self.assertEqual(self.call("/single/1")[0], 502)
+
+    def test_reset_after_an_event(self):
+        self.check_resumed(self.cut(make_event(1), resets=True))
+
+    def test_answer_that_is_no_stream(self):
+        self.set_script(*[self.cut(b"whole")] * 2)
+        self.assertEqual(self.call("/once/1")[2], b"whole")
+        self.set_script(*[self.cut(b"who", resets=True)] * 2)
+        self.assertEqual(self.call("/once/2")[0], 502)
