Read no body after the response to HEAD

Callers of HEAD got 504 at their deadline: the length in the head announces the body of a GET, and the instance waited for it. Cause: the head was parsed without the request's method. Change: the method is passed to the parser; no length is written to the caller for a body that isn't sent. Result: test_answers_without_a_body failed for HEAD before (504 after 8 s) and passes; 204 and 304 passed before.

--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -130,7 +130,8 @@
         headers = response.headers
         body = response.body
         if isinstance(body, bytes):
-            headers = [*headers, ("Content-Length", str(len(body)))]
+            if environ["REQUEST_METHOD"] != "HEAD":
+                headers = [*headers, ("Content-Length", str(len(body)))]
             body = (body,)  # type: ignore[assignment]
         reason = REASON_PHRASES.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -79,6 +79,7 @@
             headers=headers,
             body=body,
         )
+        self.exchange.method = method
         self.exchange.send_request(data, self._deadline)
 
     def read_head(self, deadline: float, attempt_id: str) -> None:
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -96,6 +96,7 @@
         self.status = 0
         self.headers: Headers = []
         self.is_complete = False
+        self.method: str | None = None
         self._connection = connection
         self._clock = clock
         self._is_caller_disconnected = is_caller_disconnected
@@ -264,7 +265,7 @@
         return reusable, float(found[1]) if found else None
 
     def _receive_head(self, deadline: float) -> http.client.HTTPResponse:
-        reader = HeadReader()
+        reader = HeadReader(self.method)
         while True:
             data = self._receive(deadline)
             if not data:
--- a/src/fescueflow/http1/heads.py
+++ b/src/fescueflow/http1/heads.py
@@ -32,6 +32,11 @@
     unused_data : bytes
         Bytes after the head, once ``feed`` has returned the response.
 
+    Parameters
+    ----------
+    method : str, optional
+        Method of the request; responses to ``HEAD`` have no body.
+
     Notes
     -----
     ``http.client`` applies the socket timeout to each read of a head separately,
@@ -39,8 +44,9 @@
     as long as the response object exists.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, method: str | None = None) -> None:
         self.unused_data = b""
+        self._method = method
         self._interim_bytes = 0
 
     def feed(self, data: bytes) -> http.client.HTTPResponse | None:
@@ -65,11 +71,11 @@
                 return None
             head, self.unused_data = self.unused_data[:size], self.unused_data[size:]
             if not INTERIM_PATTERN.match(head):
-                return parse_head(head)
+                return parse_head(head, self._method)
             self._interim_bytes += size
 
 
-def parse_head(head: bytes) -> http.client.HTTPResponse:
+def parse_head(head: bytes, method: str | None = None) -> http.client.HTTPResponse:
     """Return the response for a complete head; its body must be read separately.
 
     Raises
@@ -77,7 +83,8 @@
     http.client.HTTPException
         If the head is malformed.
     """
-    response = http.client.HTTPResponse(HeadSocket(head))  # type: ignore[arg-type]
+    source = HeadSocket(head)
+    response = http.client.HTTPResponse(source, method=method)  # type: ignore[arg-type]
     response.begin()
     return response
 
--- a/tests/gateway/fake_servers.py
+++ b/tests/gateway/fake_servers.py
@@ -138,7 +138,7 @@
                 upstream.arrivals.append((self.path, dict(self.headers), self.body))
                 upstream.script(self)
 
-            do_GET = do_POST
+            do_GET = do_HEAD = do_POST
 
         return Handler
 
--- a/tests/gateway/test_unmarked_ends.py
+++ b/tests/gateway/test_unmarked_ends.py
@@ -74,3 +74,22 @@
         self.assertEqual(self.call("/once/1")[2], b"whole")
         self.set_script(*[self.cut(b"who", resets=True)] * 2)
         self.assertEqual(self.call("/once/2")[0], 502)
+
+    def test_answers_without_a_body(self):
+        """Guards against waiting for the body that a length announces."""
+        length = [("Content-Length", "6")]
+        for method, status in (("HEAD", 200), ("POST", 204), ("POST", 304)):
+            with self.subTest(method=method, status=status):
+                self.set_script(*[self.answer_without_a_body(status, length)] * 2)
+                found = self.call("/safe/1", method=method, body=None)
+                self.assertEqual((found[0], found[2]), (status, b""))
+                self.assertIsNotNone(found[1]["X-Server-Seal"])
+
+    def answer_without_a_body(self, status, headers):
+        def script(handler):
+            handler.send_response(status)
+            for name, value in [*handler.make_seal(), *headers]:
+                handler.send_header(name, value)
+            handler.end_headers()
+
+        return script
