Resume streams only with an answer that goes on after the last event

Cause: after a stream had broken off, any answer with status 200 was taken as its rest. Change: the rest must have the content type of the stream's beginning, and its first event must come after the last one that was passed on. Otherwise the stream is visibly cut. Result: test_next_upstream_answers_something_else failed before and passes.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -54,6 +54,7 @@
 READ_TIMEOUT_OBJECTIVES = 2.5
 READ_TIMEOUT_MIN_S = 0.3
 READ_TIMEOUT_MAX_S = 1.5
+CONTENT_TYPE = "Content-Type"
 # Lowest status that reports a failure of the upstream rather than of the request.
 SERVER_ERROR_MIN = 500
 
@@ -238,6 +239,7 @@
             raise ExchangeFailed(AttemptFailure.SERVER_ERROR, f"status {status}")
         splitter = EventSplitter()
         context.attempt = attempt
+        context.content_type = attempt.exchange.get_header(CONTENT_TYPE)
         # Until the first event arrives, the request may still be sent to another
         # upstream.
         first = self._read_first_events(context, attempt, splitter)
@@ -312,7 +314,7 @@
         self, context: RequestContext, splitter: EventSplitter, failure: ExchangeFailed
     ) -> Attempt:
         """Resume a stream at another upstream after its last complete event."""
-        splitter.discard_remainder()
+        splitter.resume()
         if splitter.last_id is None:
             raise self._break_stream(context, str(failure)) from failure
         while True:
@@ -325,11 +327,13 @@
                 continue
             except RequestError as error:
                 raise self._break_stream(context, error.message) from error
-            if attempt.exchange.status == 200:
+            exchange = attempt.exchange
+            content_type = exchange.get_header(CONTENT_TYPE)
+            if exchange.status == 200 and content_type == context.content_type:
                 return attempt
             attempt.cancel()
-            status = attempt.exchange.status
-            raise self._break_stream(context, f"status {status} on resumption")
+            reason = f"status {exchange.status}, {content_type} on resumption"
+            raise self._break_stream(context, reason)
 
     def _check_retry(self, context: RequestContext, failure: ExchangeFailed) -> None:
         """Raise the caller's error unless the request may be retried.
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -53,6 +53,8 @@
     fallback: Response | None = None
     # Upstream of the current attempt.
     upstream: Upstream | None = None
+    # Content type of the stream, which is that of all its attempts.
+    content_type: str | None = None
     # Attempt whose stream is being relayed.
     attempt: Attempt | None = None
 
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -33,6 +33,8 @@
         self.last_id: str | None = None
         self.event_count = 0
         self._pending = b""
+        # Id after which a resumed stream goes on, until its first event.
+        self._resumed_after: str | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the events that it completes.
@@ -40,7 +42,8 @@
         Raises
         ------
         ExchangeFailed
-            If an incomplete event exceeds its size limit.
+            If an incomplete event exceeds its size limit, or if a resumed stream begins
+            again instead of going on.
         """
         self._pending += data
         end = 0
@@ -50,9 +53,11 @@
         events, self._pending = self._pending[:end], self._pending[end:]
         if len(self._pending) > EVENT_BYTES_MAX:
             raise ExchangeFailed(AttemptFailure.BROKEN, "an event is too large")
-        ids = EVENT_ID.findall(events)
+        ids = [found.decode("latin-1").strip() for found in EVENT_ID.findall(events)]
         if ids:
-            self.last_id = ids[-1].decode("latin-1").strip()
+            if not is_later(ids[0], self._resumed_after):
+                raise ExchangeFailed(AttemptFailure.BROKEN, "the stream began again")
+            self.last_id, self._resumed_after = ids[-1], None
         return events
 
     def take_remainder(self) -> bytes:
@@ -60,9 +65,19 @@
         rest, self._pending = self._pending, b""
         return rest
 
-    def discard_remainder(self) -> None:
-        """Discard an event that an upstream did not complete."""
+    def resume(self) -> None:
+        """Discard an incomplete event; later ones come from another upstream."""
         self._pending = b""
+        self._resumed_after = self.last_id
+
+
+def is_later(event_id: str, other: str | None) -> bool:
+    """Return whether an event comes after another one; ids grow by the protocol."""
+    if other is None:
+        return True
+    if event_id.isdecimal() and other.isdecimal():
+        return int(event_id) > int(other)
+    return event_id != other
 
 
 @dataclass
