Reset the connection of a broken stream without chunks

Cause: such a response has neither a length nor chunks, and its connection was closed in the same way after the last event and after a broken one. Change: the connection of a broken response without chunks is reset. Result: test_caller_of_an_old_protocol_version failed before and passes.

--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -3,6 +3,8 @@
 import contextlib
 import logging
 import select
+import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -33,6 +35,8 @@
 CALLER_THREADS = 128
 STATUS_THREADS = 2
 POLL_INTERVAL_S = 0.02
+# Value of SO_LINGER with which a connection is reset when it is closed.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STOP_TIMEOUT_S = 0.1
 
 
@@ -53,6 +57,23 @@
         environ[REQUEST_URI] = self.request.request_uri
         return environ
 
+    def execute(self) -> None:
+        """Run the application; reset the connection of a broken response.
+
+        Notes
+        -----
+        A caller of HTTP/1.0 gets neither a length nor chunks, and would take the end of
+        the connection for the end of the response.
+        """
+        try:
+            super().execute()
+        except StreamBroken:
+            if not self.chunked_response:
+                self.channel.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+            raise
+
     def build_response_header(self) -> bytes:
         """Return the head; while leaving, the connection closes after the response."""
         if self.is_leaving():
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams that break off and of what comes after them."""
 
 import http.client
+import socket
 
 from tests.gateway.fake_servers import make_event
 from tests.gateway.gateway_case import GatewayTestCase
@@ -48,3 +49,22 @@
             lambda h: h.send_sealed(200, make_event(1) + make_event(2), stream_type),
         ):
             self.check_truncated(second)
+
+    def test_caller_of_an_old_protocol_version(self):
+        """Without chunks, only a reset shows that the stream is broken."""
+
+        def break_off(handler):
+            handler.start_stream()
+            handler.send_event(1)
+            handler.reset_connection()
+
+        self.set_script(break_off, break_off)
+        with socket.create_connection(("127.0.0.1", self.ports["callers"])) as caller:
+            caller.settimeout(10.0)
+            caller.sendall(
+                b"POST /single/1 HTTP/1.0\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n"
+                b"Authorization: Token k1\r\nContent-Length: 0\r\n\r\n"
+            )
+            with self.assertRaises(ConnectionResetError):
+                while caller.recv(10_000):
+                    pass
