Answer the requests that a planned stop would cut

Cause: listeners close at a third of the grace period, but a connection with a request under way was kept and its request passed on; nothing ended requests before the connections were cut. Change: departure.py states the stages of a stop.

--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -7,7 +7,15 @@
 
 import logbook
 
-from fescueflow.core import Clock, InvalidRequest, RequestError, describe_error
+from fescueflow.core import (
+    Clock,
+    DeadlineExceeded,
+    InvalidRequest,
+    Moved,
+    RequestError,
+    describe_error,
+)
+from fescueflow.gateway.departure import Departure, Stage
 from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.peers import PeerTable, choose_addresses
 from fescueflow.gateway.requests import CallerRequest, Response
@@ -54,9 +62,16 @@
         yield "Content-Type", environ["CONTENT_TYPE"]
 
 
-def read_request(environ: Environment, now: float) -> CallerRequest:
+def read_request(
+    environ: Environment, now: float, departure: Departure
+) -> CallerRequest:
     """Return the caller's request in a WSGI environment.
 
+    Notes
+    -----
+    Whoever waits for an upstream asks regularly whether the caller has disconnected,
+    and is told there when the instance ends.
+
     Raises
     ------
     InvalidRequest
@@ -66,7 +81,13 @@
     body = environ["wsgi.input"].read(length) if length else b""
     if len(body) != length:
         raise InvalidRequest("the request body is incomplete")
-    is_disconnected = environ.get("waitress.client_disconnected")
+    is_disconnected = environ.get("waitress.client_disconnected") or (lambda: False)
+
+    def check_caller() -> bool:
+        if departure.get_stage() is Stage.ENDING:
+            raise DeadlineExceeded("the instance stops before the answer is complete")
+        return bool(is_disconnected())
+
     return CallerRequest(
         method=environ["REQUEST_METHOD"],
         target=environ[REQUEST_URI],
@@ -74,7 +95,7 @@
         headers=read_call_headers(list(iterate_headers(environ))),
         body=body,
         received_at=now,
-        is_caller_disconnected=is_disconnected or (lambda: False),
+        is_caller_disconnected=check_caller,
     )
 
 
@@ -88,6 +109,7 @@
     metrics : Metrics
     on_request : callable
         Called for each request.
+    departure : Departure
     """
 
     def __init__(
@@ -97,7 +119,9 @@
         clock: Clock,
         metrics: Metrics,
         on_request: Callable[[], None],
+        departure: Departure,
     ) -> None:
+        self._departure = departure
         self._on_request = on_request
         self._forwarder = forwarder
         self._clock = clock
@@ -111,7 +135,10 @@
         self._on_request()
         attempt_id = environ.get(ATTEMPT_ID_VARIABLE, "")
         try:
-            response = self._forwarder.forward(read_request(environ, started_at))
+            if self._departure.get_stage() in (Stage.REFUSING, Stage.ENDING):
+                raise Moved("the instance stops", retry_after_ms=0)
+            request = read_request(environ, started_at, self._departure)
+            response = self._forwarder.forward(request)
         except RequestError as error:
             response = make_error_response(error)
             self._record_failure(attempt_id, error, started_at)
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -24,6 +24,11 @@
     UpstreamChangeHandler,
 )
 from fescueflow.gateway.connections import ConnectionPool
+from fescueflow.gateway.departure import (
+    CUTTING_FRACTION,
+    REFUSING_FRACTION,
+    Departure,
+)
 from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.logs import log_to_stdout
@@ -49,11 +54,6 @@
 # Time for which callers cache an address; a third of the longest, since some cache it
 # three times as long.
 ADDRESS_TTL_S = 2.0
-# Fractions of the grace period after which no more connections are accepted, and after
-# which unfinished responses are cut. Callers use a cached address for some seconds;
-# requests accepted later than 3 s into a period of 8 s might not finish in the rest.
-LISTEN_FRACTION = 0.35
-DRAIN_FRACTION = 0.92
 MAINTENANCE_INTERVAL_S = 0.5
 # Limit for a complete response of the store.
 STORE_CALL_TIMEOUT_S = 3.0
@@ -97,7 +97,7 @@
         self._reload_requested = threading.Event()
         self._clock = clock
         self._metrics = Metrics()
-        self._leaving = threading.Event()
+        self._departure = Departure(clock)
         self._stopped = threading.Event()
         self._platform_state = PlatformState()
         self._loads = LoadTracker()
@@ -169,7 +169,8 @@
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
         return (
-            self._platform_state.get_table() is not None and not self._leaving.is_set()
+            self._platform_state.get_table() is not None
+            and not self._departure.has_started
         )
 
     def leave(self) -> None:
@@ -177,17 +178,17 @@
 
         Later calls do nothing.
         """
-        if self._leaving.is_set():
+        if self._departure.has_started:
             return
         started_at = self._clock.monotonic()
         log.info("leaving")
-        self._leaving.set()
+        grace_s = self._boot.grace_s
+        self._departure.start(grace_s)
         self._reporter.update_own_record()
         self._transport.send_now()
-        grace_s = self._boot.grace_s
-        self._clock.wait(self._stopped, grace_s * LISTEN_FRACTION)
+        self._clock.wait(self._stopped, grace_s * REFUSING_FRACTION)
         self._caller_server.close_listeners()
-        idle = self._caller_server.wait_idle(started_at + grace_s * DRAIN_FRACTION)
+        idle = self._caller_server.wait_idle(started_at + grace_s * CUTTING_FRACTION)
         log.info("stopped, all answers finished: {}", idle)
         self._stopped.set()
         self._watcher.stop()
@@ -240,12 +241,13 @@
             clock=self._clock,
             metrics=self._metrics,
             on_request=self._reporter.record_request,
+            departure=self._departure,
         )
         return GatewayServer(
             application=application,
             addresses=[self._boot.callers_address],
             threads=CALLER_THREADS,
-            is_leaving=self._leaving.is_set,
+            is_leaving=lambda: self._departure.has_started,
         )
 
     def _make_status_server(self) -> GatewayServer:
