Bound the memory of the answers that an instance holds

A faulty upstream that sent bodies without end, in many answers at once, filled the memory of an instance; the requests of all its callers ended with it: another operator's report, shown by a test. Endless heads, interim responses, chunks and events were bounded before. Cause: each body may have 16 MiB, and up to 128 are read at once, more than the 300 MB of an instance. Change: each answer may hold 256 KiB whatever the others hold, and what it holds beyond that is taken from an eighth of the process's memory until it is delivered. An answer that exceeds this fails. Incomplete events are limited to 256 KiB. Large bodies are given to the server in parts, so that it holds no copy.

--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -1,7 +1,7 @@
 """WSGI applications for caller requests and for address lookup and status."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -34,6 +34,8 @@
 JSON_TYPE = "application/json"
 # Addresses in one response; callers use no more.
 ADDRESSES_MAX = 64
+# Size of the parts in which a large body is given to the server.
+BODY_PART_BYTES = 1 << 16
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -99,6 +101,25 @@
     )
 
 
+def iterate_body(response: Response, body: bytes) -> Iterable[bytes]:
+    """Return a body in parts; the last one is taken before its buffer is released.
+
+    Notes
+    -----
+    The server takes further parts when the caller has taken most of the last ones, so
+    that it does not hold a copy of a large body.
+    """
+    if len(body) <= BODY_PART_BYTES:
+        return (body,)
+
+    def iterate_parts() -> Iterator[bytes]:
+        for start in range(0, len(body), BODY_PART_BYTES):
+            yield body[start : start + BODY_PART_BYTES]
+        response.buffer = None
+
+    return iterate_parts()
+
+
 class CallerApplication:
     """WSGI application that forwards callers' requests.
 
@@ -159,7 +180,7 @@
         if isinstance(body, bytes):
             if environ["REQUEST_METHOD"] != "HEAD":
                 headers = [*headers, ("Content-Length", str(len(body)))]
-            body = (body,)  # type: ignore[assignment]
+            body = iterate_body(response, body)  # type: ignore[assignment]
         reason = REASON_PHRASES.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
         return body  # type: ignore[return-value]
--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -5,6 +5,7 @@
 import logbook
 
 from fescueflow.core import Clock, UpstreamId
+from fescueflow.gateway.buffers import AnswerBuffer
 from fescueflow.gateway.connections import ConnectionPool, UpstreamConnection
 from fescueflow.gateway.exchange import (
     ConnectionLost,
@@ -123,9 +124,9 @@
         """Note that a stream has made progress."""
         self.exchange.mark_progress()
 
-    def read_body(self, deadline: float) -> bytes:
-        """Return the whole body."""
-        return self.exchange.read_body(deadline)
+    def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
+        """Return the whole body; its bytes are counted by the buffer."""
+        return self.exchange.read_body(deadline, buffer)
 
     def record_events(self, count: int) -> None:
         """Record that complete events of a stream have arrived."""
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 
 from fescueflow.core import Clock, FescueflowError, InvalidRequest
+from fescueflow.gateway.buffers import AnswerBuffer, BufferFull
 from fescueflow.gateway.connections import UpstreamConnection
 from fescueflow.http1 import ChunkDecoder, HeadReader
 from fescueflow.platform import ATTEMPT_ID_HEADER, Headers
@@ -227,14 +228,18 @@
         """Note that the body has grown by something complete, or that it was paused."""
         self._progress_at = self._clock.monotonic()
 
-    def read_body(self, deadline: float) -> bytes:
-        """Return the whole body."""
+    def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
+        """Return the whole body; its bytes are counted by the buffer."""
         parts: list[bytes] = []
         size = 0
         for part in self.iterate_parts(deadline):
             size += len(part)
             if size > BODY_BYTES_MAX:
                 raise ExchangeFailed(AttemptFailure.BROKEN, "the body is too large")
+            try:
+                buffer.grow(len(part))
+            except BufferFull as error:
+                raise ExchangeFailed(AttemptFailure.BROKEN, str(error)) from error
             parts.append(part)
         return b"".join(parts)
 
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -9,11 +9,11 @@
     NotReady,
     Outcome,
     Overloaded,
-    PromptQuarantined,
     RequestError,
     UpstreamFailed,
 )
 from fescueflow.gateway.attempts import Attempt, AttemptClient
+from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
 from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine import PromptQuarantine
@@ -41,7 +41,6 @@
     PRIORITY_DEFAULT,
     AttemptFailure,
     RouteKind,
-    Verdict,
     choose_service,
     find_customer,
     find_route,
@@ -69,6 +68,7 @@
     client : AttemptClient
     clock : Clock
     quarantine : PromptQuarantine
+    buffers : AnswerBuffers
     """
 
     def __init__(
@@ -79,8 +79,10 @@
         client: AttemptClient,
         clock: Clock,
         quarantine: PromptQuarantine,
+        buffers: AnswerBuffers,
     ) -> None:
         self._quarantine = quarantine
+        self._buffers = buffers
         self._platform_state = platform_state
         self._selector = selector
         self._client = client
@@ -167,7 +169,7 @@
             prompt,
             context.tried,
             context.deadline - now,
-            self._find_isolation_key(context),
+            self._quarantine.admit(context.service, prompt),
         )
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
@@ -204,34 +206,15 @@
             raise
         return attempt
 
-    def _find_isolation_key(self, context: RequestContext) -> str | None:
-        """Return the key by which a suspected request is kept apart.
-
-        Raises
-        ------
-        PromptQuarantined
-            If upstreams crash under a part of the prompt.
-        """
-        prompt, service = context.request.headers.prompt, context.service
-        verdict = self._quarantine.check(service, prompt)
-        if verdict is Verdict.REJECT:
-            retry_after_s = self._quarantine.get_retry_after_s(service, prompt)
-            raise PromptQuarantined(
-                "upstreams crash under a part of the prompt",
-                retry_after_ms=round(retry_after_s * 1000),
-            )
-        if verdict is Verdict.ADMIT:
-            return None
-        return self._quarantine.get_isolation_key(service, prompt)
-
     def _read_response(self, context: RequestContext, attempt: Attempt) -> Response:
         status = attempt.exchange.status
         headers = select_response_headers(attempt.exchange.headers)
         is_stream = context.route.kind is RouteKind.STREAM and status == 200
         if not is_stream:
-            body = attempt.read_body(context.deadline)
+            buffer = AnswerBuffer(self._buffers)
+            body = attempt.read_body(context.deadline, buffer)
             attempt.finish()
-            response = Response(status, headers, body)
+            response = Response(status, headers, body, buffer)
             if status < SERVER_ERROR_MIN or not self._can_retry_server_error(context):
                 return response
             # Returned to the caller if no other upstream succeeds.
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -19,6 +19,7 @@
 from fescueflow.gateway.active_set import compute_capacity
 from fescueflow.gateway.application import CallerApplication, StatusApplication
 from fescueflow.gateway.attempts import AttemptClient
+from fescueflow.gateway.buffers import AnswerBuffers
 from fescueflow.gateway.changes import (
     OperatorChangeHandler,
     UpstreamChangeHandler,
@@ -235,6 +236,7 @@
             client=client,
             clock=self._clock,
             quarantine=self._quarantine,
+            buffers=AnswerBuffers(self._boot.memory_mb * 1e6),
         )
         application = CallerApplication(
             forwarder=forwarder,
--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -7,7 +7,13 @@
 
 import logbook
 
-from fescueflow.core import Clock, InstanceId, UpstreamId, choose_candidate
+from fescueflow.core import (
+    Clock,
+    InstanceId,
+    PromptQuarantined,
+    UpstreamId,
+    choose_candidate,
+)
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.metrics import Metrics
@@ -96,6 +102,24 @@
         self._progress: OrderedDict[tuple[ServiceId, PartId], float] = OrderedDict()
         self._progress_changed_at: dict[tuple[ServiceId, PartId], float] = {}
 
+    def admit(self, service: ServiceId, prompt: Prompt) -> str | None:
+        """Return the key that keeps a suspected request apart, ``None`` for others.
+
+        Raises
+        ------
+        PromptQuarantined
+            If upstreams crash under a part of the prompt.
+        """
+        verdict = self.check(service, prompt)
+        if verdict is Verdict.REJECT:
+            raise PromptQuarantined(
+                "upstreams crash under a part of the prompt",
+                retry_after_ms=round(self.get_retry_after_s(service, prompt) * 1000),
+            )
+        if verdict is Verdict.ADMIT:
+            return None
+        return self.get_isolation_key(service, prompt)
+
     def check(self, service: ServiceId, prompt: Prompt) -> Verdict:
         """Return how a request with this prompt is handled.
 
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -5,6 +5,7 @@
 
 from fescueflow.core import CustomerId, UpstreamId
 from fescueflow.gateway.attempts import Attempt
+from fescueflow.gateway.buffers import AnswerBuffer
 from fescueflow.gateway.streams import StreamBody
 from fescueflow.platform import CallHeaders, Headers
 from fescueflow.routing import Route, ServiceId, Upstream
@@ -25,11 +26,15 @@
 
 @dataclass
 class Response:
-    """Status, headers and body for the caller; a stream's body is iterable."""
+    """Status, headers and body for the caller; a stream's body is iterable.
+
+    ``buffer`` counts the bytes of a body that is held until it is delivered.
+    """
 
     status: int
     headers: Headers
     body: bytes | StreamBody
+    buffer: AnswerBuffer | None = None
 
 
 @dataclass
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass
 
 from fescueflow.core import Clock
+from fescueflow.gateway.buffers import GUARANTEED_BYTES
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.routing import AttemptFailure
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 # Limit for an incomplete event; the upstreams' events hold a few tokens.
-EVENT_BYTES_MAX = 1 << 20
+EVENT_BYTES_MAX = GUARANTEED_BYTES
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
 
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -14,6 +14,9 @@
 
 # Bandwidth of the link of an instance whose settings don't tell it, in Mbit/s.
 LINK_MBPS_DEFAULT = 1000.0
+# Memory of an instance whose settings don't tell it, in MB: that of the size to design
+# for (docs/CAPACITY.md).
+MEMORY_MB_DEFAULT = 256.0
 
 
 @dataclass(frozen=True)
@@ -24,7 +27,8 @@
     in the store. Within ``repeat_window_s``, the retry budget of a service is
     ``repeat_ratio`` retries per first attempt plus ``repeat_base`` retries for all
     instances together. ``cpu_cores`` is the processor's share in standard cores.
-    ``link_mbps`` is the bandwidth of the instance's link.
+    ``link_mbps`` is the bandwidth of the instance's link, ``memory_mb`` the memory at
+    which its process is killed.
     """
 
     instance: InstanceId
@@ -46,6 +50,7 @@
     imbalance_factor: float
     cpu_cores: float = 1.0
     link_mbps: float = LINK_MBPS_DEFAULT
+    memory_mb: float = MEMORY_MB_DEFAULT
 
 
 class DocumentReader:
@@ -158,6 +163,7 @@
         cpu_cores=read_limit(limits, "cpu_quota", 1.0)
         * read_limit(limits, "speed_factor", 1.0),
         link_mbps=read_limit(limits, "link_mbps", LINK_MBPS_DEFAULT),
+        memory_mb=read_limit(limits, "memory_limit_mb", MEMORY_MB_DEFAULT),
     )
 
 
@@ -166,8 +172,8 @@
 
     Notes
     -----
-    They only decide how many callers are sent to an instance, so an odd value is no
-    reason not to start.
+    They only decide how many callers are sent to an instance and how much of their
+    answers it holds, so an odd value is no reason not to start.
     """
     value = limits.get(name) if isinstance(limits, Mapping) else None
     try:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -1,10 +1,12 @@
 """Tests with faulty upstreams that send data without end, in a head or a body."""
 
 import socket
+import threading
 import time
 import tracemalloc
 import unittest
 
+from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
 from fescueflow.gateway.connections import UpstreamConnection
 from fescueflow.gateway.exchange import Exchange, ExchangeFailed
 from tests.fakes import FakeClock
@@ -18,6 +20,10 @@
 BLOCK = 16384
 DRIP_S = 0.05
 MEMORY_BYTES_MAX = 40 << 20
+# Memory of an instance, and endless answers at once that would exceed half of it if
+# each held as much as one answer may.
+INSTANCE_BYTES_MAX = 256 << 20
+FLOODS = 20
 
 
 def flood(handler, data):
@@ -121,6 +127,44 @@
         self.assertLess(tracemalloc.get_traced_memory()[1], MEMORY_BYTES_MAX)
 
 
+class MemoryTest(GatewayTestCase):
+    """Guards against upstreams whose endless answers fill an instance's memory."""
+
+    def test_many_endless_answers_at_once(self):
+        """Requests that others answer as usual are served meanwhile."""
+
+        def answer(handler):
+            if handler.path.startswith("/once/"):
+                flood_body(handler)
+            else:
+                handler.send_sealed()
+
+        self.set_script(answer, answer)
+        headers = {"X-Deadline-Ms": "6000"}
+        statuses = []
+        calls = [
+            threading.Thread(
+                target=lambda: statuses.append(self.call("/once/1", headers=headers)[0])
+            )
+            for _ in range(FLOODS)
+        ]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for call in calls:
+            call.start()
+        while any(call.is_alive() for call in calls):
+            self.assertEqual(self.call("/safe/1")[0], 200)
+        self.assertEqual(statuses, [502] * FLOODS)
+        self.assertLess(tracemalloc.get_traced_memory()[1], INSTANCE_BYTES_MAX / 2)
+
+    def test_large_answers_one_after_the_other(self):
+        """Guards against memory that is counted for answers that were delivered."""
+        large = b"x" * (12 << 20)
+        self.set_script(*[lambda h: h.send_sealed(200, large)] * 2)
+        for number in range(6):
+            self.assertEqual(len(self.call(f"/once/{number}")[2]), len(large))
+
+
 class RetryElsewhereTest(GatewayTestCase):
     """Guards against waiting for an endless response when a retry is possible."""
 
@@ -159,7 +203,10 @@
         self.exchange.read_head(self.deadline, "a1", self.deadline)
         self.upstream.sendall(b"wer")
         self.clock.advance(5.0)
-        self.assertEqual(self.exchange.read_body(self.deadline), b"answer")
+        self.assertEqual(
+            self.exchange.read_body(self.deadline, AnswerBuffer(AnswerBuffers(0))),
+            b"answer",
+        )
 
     def test_data_that_continues_after_the_deadline(self):
         self.upstream.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
