Cancel waiting requests whose prompt is quarantined meanwhile

Cause: only requests that arrive later were checked; a report followed the last one after 50 ms at the earliest. Change: whoever waits for the first events asks, as it asks for the caller, whether the prompt was quarantined 0.1 s ago or longer, and takes the request back; its outcome is unknown. Hurried reports follow after 20 ms. Result: test_request_that_waits_while_its_part_is_quarantined (new; without the check the upstream ends).

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -362,4 +362,4 @@
     return "low" if reported_running > expected else "high"
 
 
-__all__ = ["Attempt", "AttemptClient"]
+__all__ = ["BEGUN_EVENTS", "Attempt", "AttemptClient"]
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -1,22 +1,22 @@
 """Forwarding of requests to upstreams, with retries and resumed streams."""
 
 from collections.abc import Iterator
+from functools import partial
 
 from fescueflow.core import (
     BodyTooLarge,
     Clock,
     DeadlineExceeded,
     NotReady,
-    Outcome,
-    Overloaded,
+    PromptQuarantined,
     RequestError,
-    UpstreamFailed,
 )
-from fescueflow.gateway.attempts import Attempt, AttemptClient
+from fescueflow.gateway.attempts import BEGUN_EVENTS, Attempt, AttemptClient
 from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
+from fescueflow.gateway.errors import adjust_error, make_error
 from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
 from fescueflow.gateway.platform_state import PlatformState
-from fescueflow.gateway.quarantine import PromptQuarantine
+from fescueflow.gateway.quarantine import Admission, PromptQuarantine
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
@@ -106,7 +106,7 @@
         except RequestError as error:
             if context.fallback is not None:
                 return context.fallback
-            raise self._adjust_error(context, error) from error
+            raise adjust_error(context, error) from error
 
     def _run_attempt(self, context: RequestContext) -> Response | None:
         """Return the response of one attempt, ``None`` if another one follows.
@@ -164,12 +164,13 @@
         if now >= context.deadline:
             raise DeadlineExceeded("the deadline passed")
         prompt = request.headers.prompt
+        admission = self._quarantine.admit(context.service, prompt)
         selection = self._selector.select(
             context.service,
             prompt,
             context.tried,
             context.deadline - now,
-            self._quarantine.admit(context.service, prompt),
+            admission.isolation_key,
         )
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
@@ -190,7 +191,10 @@
             copy_from=selection.source.address if selection.source else None,
         )
         attempt = self._client.connect(
-            selection, prompt, context.deadline, request.is_caller_disconnected
+            selection,
+            prompt,
+            context.deadline,
+            partial(self._check_waiting, context, admission),
         )
         try:
             context.attempts_sent += 1
@@ -206,6 +210,25 @@
             raise
         return attempt
 
+    def _check_waiting(self, context: RequestContext, admission: Admission) -> bool:
+        """Return whether the caller has disconnected.
+
+        Raises
+        ------
+        PromptQuarantined
+            If upstreams crash under a part of the prompt, as is known since the request
+            was sent.
+        """
+        if not admission.is_trial and context.event_count < BEGUN_EVENTS:
+            try:
+                self._quarantine.check_waiting(
+                    context.service, context.request.headers.prompt
+                )
+            except PromptQuarantined:
+                context.may_have_run = True
+                raise
+        return context.request.is_caller_disconnected()
+
     def _read_response(self, context: RequestContext, attempt: Attempt) -> Response:
         status = attempt.exchange.status
         headers = select_response_headers(attempt.exchange.headers)
@@ -339,16 +362,6 @@
         ):
             raise make_error(failure)
 
-    def _adjust_error(
-        self, context: RequestContext, error: RequestError
-    ) -> RequestError:
-        """Return the error that describes all attempts of the request."""
-        if error.outcome is Outcome.NOT_RUN and context.may_have_run:
-            return UpstreamFailed(error.message)
-        if isinstance(error, DeadlineExceeded) and not context.attempts_sent:
-            return Overloaded(error.message)
-        return error
-
     def _break_stream(self, context: RequestContext, reason: str) -> StreamBroken:
         """Log a broken stream and return the error that closes the connection."""
         log_broken_stream(context, reason)
@@ -371,11 +384,4 @@
     context.event_count = splitter.event_count
 
 
-def make_error(failure: ExchangeFailed) -> RequestError:
-    """Return the caller's error for a failed attempt."""
-    if failure.kind.may_have_run:
-        return UpstreamFailed(failure.reason)
-    return Overloaded(failure.reason, retry_after_ms=RETRY_AFTER_MS)
-
-
 __all__ = ["Forwarder"]
--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -16,7 +16,7 @@
 REPORT_INTERVAL_S = 0.35
 # Time from a report to the next one if other instances should hear of a change soon: a
 # few round trips between availability zones.
-HURRIED_INTERVAL_S = 0.05
+HURRIED_INTERVAL_S = 0.02
 # Silence after which callers are no longer sent to an instance: four reports, so that a
 # lost datagram does not remove it.
 PEER_TIMEOUT_S = 1.5
--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -16,6 +16,7 @@
 )
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.quarantine_codec import ProgressUpdate, QuarantineReport
 from fescueflow.metrics import Metrics
 from fescueflow.routing import (
     Crash,
@@ -30,6 +31,8 @@
     Verdict,
     collect_evidence,
     find_culprits,
+    has_quarantine,
+    make_quarantine,
 )
 
 # Time for which a change is in each report: three reports, so that a lost datagram does
@@ -39,6 +42,10 @@
 PROGRESS_MAX = 1024
 # Parts with progress in one report, about 25 bytes each.
 REPORTED_PROGRESS_MAX = 64
+# Age of a quarantine at which requests that wait at upstreams are cancelled: reports of
+# other instances on the same crashes have arrived.
+SETTLED_AGE_S = 0.1
+CRASH_MESSAGE = "upstreams crash under a part of the prompt"
 # Delay of a retry if a quarantine ends at no known time, in seconds.
 RETRY_AFTER_MAX_S = 600.0
 
@@ -46,20 +53,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ProgressUpdate:
-    """A suspected part with which an answer made progress."""
+class Admission:
+    """How an admitted request is sent.
 
-    service: ServiceId
-    part: PartId
-    age_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class QuarantineReport:
-    """Crashes and progress that instances report to each other."""
+    ``isolation_key`` is set for a suspected request, which is kept apart from others.
+    ``is_trial`` is whether the request shows if a quarantine is right.
+    """
 
-    crashes: tuple[CrashUpdate, ...] = ()
-    progress: tuple[ProgressUpdate, ...] = ()
+    isolation_key: str | None = None
+    is_trial: bool = False
 
 
 class PromptQuarantine:
@@ -102,8 +104,8 @@
         self._progress: OrderedDict[tuple[ServiceId, PartId], float] = OrderedDict()
         self._progress_changed_at: dict[tuple[ServiceId, PartId], float] = {}
 
-    def admit(self, service: ServiceId, prompt: Prompt) -> str | None:
-        """Return the key that keeps a suspected request apart, ``None`` for others.
+    def admit(self, service: ServiceId, prompt: Prompt) -> Admission:
+        """Return how a request with this prompt is sent.
 
         Raises
         ------
@@ -113,12 +115,29 @@
         verdict = self.check(service, prompt)
         if verdict is Verdict.REJECT:
             raise PromptQuarantined(
-                "upstreams crash under a part of the prompt",
+                CRASH_MESSAGE,
                 retry_after_ms=round(self.get_retry_after_s(service, prompt) * 1000),
             )
         if verdict is Verdict.ADMIT:
-            return None
-        return self.get_isolation_key(service, prompt)
+            return Admission()
+        key = self.get_isolation_key(service, prompt)
+        return Admission(key, verdict is Verdict.TRY)
+
+    def check_waiting(self, service: ServiceId, prompt: Prompt) -> None:
+        """Check a request that waits at an upstream for its first events.
+
+        Raises
+        ------
+        PromptQuarantined
+            If a part of its prompt was quarantined meanwhile.
+        """
+        now = self._clock.monotonic()
+        if any(
+            quarantine.culprit.parts.issubset(prompt.shared_parts)
+            and now - quarantine.since >= SETTLED_AGE_S
+            for quarantine in self._quarantines.get(service, ())
+        ):
+            raise PromptQuarantined(CRASH_MESSAGE)
 
     def check(self, service: ServiceId, prompt: Prompt) -> Verdict:
         """Return how a request with this prompt is handled.
@@ -336,7 +355,7 @@
         before = self._quarantines.get(service, [])
         known = [quarantine.culprit for quarantine in before]
         found = [
-            Quarantine(culprit, count_trials(before, culprit.parts))
+            make_quarantine(culprit, before, now)
             for culprit in find_culprits(evidence, service, known)
         ]
         for quarantine in found:
@@ -356,16 +375,6 @@
         self._crashes.trim(frozenset().union(*kept), now)
 
 
-def count_trials(quarantines: Iterable[Quarantine], parts: frozenset[PartId]) -> int:
-    """Return the trials made of quarantines with these parts and maybe others."""
-    return max((q.trials for q in quarantines if parts <= q.culprit.parts), default=0)
-
-
-def has_quarantine(quarantines: Iterable[Quarantine], parts: frozenset[PartId]) -> bool:
-    """Return whether there is a quarantine of exactly these parts."""
-    return any(q.culprit.parts == parts for q in quarantines)
-
-
 def make_crash_id(upstream: Upstream) -> CrashId:
     """Return the id of a crash of this start of an upstream."""
     return CrashId(upstream.id, upstream.started_at_ms)
@@ -386,4 +395,4 @@
     }
 
 
-__all__ = ["ProgressUpdate", "PromptQuarantine", "QuarantineReport"]
+__all__ = ["Admission", "PromptQuarantine"]
--- a/src/fescueflow/gateway/report_codec.py
+++ b/src/fescueflow/gateway/report_codec.py
@@ -1,7 +1,6 @@
 """Encoding of the reports that instances send each other as datagrams."""
 
 import json
-import math
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
@@ -9,15 +8,13 @@
 
 from fescueflow.core import InstanceId, UpstreamId, ZoneId
 from fescueflow.gateway.counts import CountUpdate
-from fescueflow.gateway.quarantine import ProgressUpdate, QuarantineReport
-from fescueflow.gateway.records import PeerRecord
-from fescueflow.routing import (
-    CrashId,
-    CrashUpdate,
-    HolderUpdate,
-    PartId,
-    ServiceId,
+from fescueflow.gateway.quarantine_codec import (
+    QuarantineReport,
+    decode_quarantine,
+    encode_quarantine,
 )
+from fescueflow.gateway.records import PeerRecord
+from fescueflow.routing import HolderUpdate, ServiceId
 
 # Uncompressed size of a report; several times the largest one.
 REPORT_BYTES_MAX = 1 << 20
@@ -65,14 +62,8 @@
             ]
             for update in report.counts
         ],
+        **encode_quarantine(report.quarantine),
     }
-    if report.quarantine.crashes:
-        document["crashes"] = [encode_crash(c) for c in report.quarantine.crashes]
-    if report.quarantine.progress:
-        document["progress"] = [
-            [update.service, update.part, round(update.age_s, 3)]
-            for update in report.quarantine.progress
-        ]
     return compress_report(json.dumps(document, separators=(",", ":")).encode())
 
 
@@ -119,54 +110,6 @@
     ]
 
 
-def encode_crash(update: CrashUpdate) -> list[Any]:
-    """Return a crash as a list."""
-    return [
-        update.id.upstream,
-        update.id.started_at_ms,
-        update.service,
-        # Rounded down: the crash must not seem earlier than it was seen.
-        math.floor(update.age_s * 1000) / 1000,
-        [[part, round(wait_s, 3)] for part, wait_s in update.waits_s.items()],
-    ]
-
-
-def decode_crash(entry: Any) -> CrashUpdate:
-    """Return the crash that was encoded as a list."""
-    upstream, started_at_ms, service, age_s, waits = entry
-    return CrashUpdate(
-        CrashId(UpstreamId(str(upstream)), int(started_at_ms)),
-        ServiceId(str(service)),
-        decode_age(age_s),
-        {PartId(str(part)): decode_age(wait_s) for part, wait_s in waits},
-    )
-
-
-def decode_age(value: Any) -> float:
-    """Return a number of seconds, at least 0.
-
-    Raises
-    ------
-    ValueError
-        If the value is not a finite number.
-    """
-    seconds = float(value)
-    if not math.isfinite(seconds):
-        raise ValueError(f"{value!r} is not a time")
-    return max(0.0, seconds)
-
-
-def decode_quarantine(document: Any) -> QuarantineReport:
-    """Return the crashes and the progress in a report; earlier versions send none."""
-    return QuarantineReport(
-        tuple(decode_crash(entry) for entry in document.get("crashes", [])),
-        tuple(
-            ProgressUpdate(ServiceId(str(service)), PartId(str(part)), decode_age(age))
-            for service, part, age in document.get("progress", [])
-        ),
-    )
-
-
 def decode_report(data: bytes, now: float) -> PeerReport:
     """Return the report of a datagram.
 
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -52,6 +52,8 @@
     collect_evidence,
     count_independent,
     find_culprits,
+    has_quarantine,
+    make_quarantine,
     rank_isolated,
 )
 from fescueflow.routing.reports import (
@@ -114,8 +116,10 @@
     "find_culprits",
     "find_customer",
     "find_holder",
+    "has_quarantine",
     "find_route",
     "is_copy_worthwhile",
+    "make_quarantine",
     "may_retry",
     "measure_balance",
     "parse_prompt",
--- a/src/fescueflow/routing/quarantine.py
+++ b/src/fescueflow/routing/quarantine.py
@@ -70,6 +70,7 @@
     """A quarantine of a culprit's parts and the trials that this instance made."""
 
     culprit: Culprit
+    since: float
     trials: int = 0
 
     def get_next_trial_at(self) -> float | None:
@@ -246,6 +247,21 @@
             explained |= ids
 
 
+def make_quarantine(
+    culprit: Culprit, before: Sequence[Quarantine], now: float
+) -> Quarantine:
+    """Return the quarantine of a culprit; it takes over the trials of earlier ones."""
+    parts = culprit.parts
+    since = min((q.since for q in before if q.culprit.parts == parts), default=now)
+    trials = max((q.trials for q in before if parts <= q.culprit.parts), default=0)
+    return Quarantine(culprit, since, trials)
+
+
+def has_quarantine(quarantines: Iterable[Quarantine], parts: frozenset[PartId]) -> bool:
+    """Return whether there is a quarantine of exactly these parts."""
+    return any(quarantine.culprit.parts == parts for quarantine in quarantines)
+
+
 def rank_isolated(placements: Sequence[Placement], key: str) -> list[Placement]:
     """Return the placements of a suspected request, where a crash costs least first.
 
@@ -278,5 +294,7 @@
     "collect_evidence",
     "count_independent",
     "find_culprits",
+    "has_quarantine",
+    "make_quarantine",
     "rank_isolated",
 ]
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -5,11 +5,8 @@
 from fescueflow.core import InstanceId
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import PlatformState
-from fescueflow.gateway.quarantine import (
-    ProgressUpdate,
-    PromptQuarantine,
-    QuarantineReport,
-)
+from fescueflow.gateway.quarantine import PromptQuarantine
+from fescueflow.gateway.quarantine_codec import ProgressUpdate, QuarantineReport
 from fescueflow.gateway.report_codec import PeerReport, decode_report, encode_report
 from fescueflow.metrics import Metrics
 from fescueflow.routing import Prompt, Verdict
--- a/tests/gateway/test_query_of_death.py
+++ b/tests/gateway/test_query_of_death.py
@@ -1,11 +1,14 @@
 """Tests of requests under which upstreams end, with real instances and sockets."""
 
+import threading
 import time
 import unittest
 
+from fescueflow.gateway.quarantine_codec import QuarantineReport
 from tests.gateway.fake_servers import FakeStore
 from tests.gateway.gateway_case import WAIT_S, make_table
 from tests.gateway.mortal_upstreams import LiveFleet, MortalUpstream
+from tests.routing.test_quarantine import make_update
 
 # Upstreams that may end under one part, and requests with it that may reach upstreams
 # later than the stable window after the last of these ends.
@@ -63,6 +66,25 @@
         late = self.count_arrivals("fatal", bound_from)
         self.assertLessEqual(late, LATE_ARRIVALS_MAX)
 
+    def test_request_that_waits_while_its_part_is_quarantined(self):
+        """It is taken back before the upstream begins to answer it."""
+        self.fatal_parts.add("fatal")
+        for upstream in self.upstreams:
+            upstream.first_event_s = 1.5
+        crashes = tuple(make_update(n, 9.0 - n, "fatal") for n in range(3))
+
+        def quarantine():
+            time.sleep(0.5)
+            for sender in ("edge-8", "edge-9"):
+                for gateway in self.fleet.gateways:
+                    gateway._quarantine.merge(QuarantineReport(crashes), sender)
+
+        thread = threading.Thread(target=quarantine)
+        thread.start()
+        status, _, body = self.call(["first", "fatal"])
+        thread.join()
+        self.assertEqual((status, self.list_ends()), (502, []), body)
+
 
 if __name__ == "__main__":
     unittest.main()
