Quarantine requests without prompt parts under which upstreams crash

The class of the fault is wider than a part of a prompt: a request without parts that ends upstreams was retried and repeated in the same way. Cause: evidence was kept of prompt parts only. Change: a request without shared parts counts as one part, the digest of its method, host, target and body, which its repeats share. Result: test_request_without_prompt_parts failed without it (an upstream was left for no sound request) and passes. Reset connections and spoiled answers record no crash (test_lost_and_spoiled_answers_are_no_crashes).

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -23,7 +23,12 @@
     log_selection,
     log_stream_end,
 )
-from fescueflow.gateway.requests import CallerRequest, RequestContext, Response
+from fescueflow.gateway.requests import (
+    CallerRequest,
+    RequestContext,
+    Response,
+    describe_prompt,
+)
 from fescueflow.gateway.selection import RETRY_AFTER_MS, UpstreamSelector
 from fescueflow.gateway.streams import (
     EventSplitter,
@@ -149,6 +154,7 @@
             priority = customer.priority
         return RequestContext(
             request=request,
+            prompt=describe_prompt(request),
             route=route,
             service=choose_service(route, request.headers.attempt_id),
             customer=customer.id if customer else None,
@@ -163,7 +169,7 @@
         request, now = context.request, self._clock.monotonic()
         if now >= context.deadline:
             raise DeadlineExceeded("the deadline passed")
-        prompt = request.headers.prompt
+        prompt = context.prompt
         admission = self._quarantine.admit(context.service, prompt)
         selection = self._selector.select(
             context.service,
@@ -221,9 +227,7 @@
         """
         if not admission.is_trial and context.event_count < BEGUN_EVENTS:
             try:
-                self._quarantine.check_waiting(
-                    context.service, context.request.headers.prompt
-                )
+                self._quarantine.check_waiting(context.service, context.prompt)
             except PromptQuarantined:
                 context.may_have_run = True
                 raise
--- a/src/fescueflow/gateway/request_logs.py
+++ b/src/fescueflow/gateway/request_logs.py
@@ -100,7 +100,7 @@
 
 def list_parts(context: RequestContext) -> list[str]:
     """Return the first shared parts of the request's prompt."""
-    return list(context.request.headers.prompt.shared_parts[:LOGGED_PARTS_MAX])
+    return list(context.prompt.shared_parts[:LOGGED_PARTS_MAX])
 
 
 def describe_upstream(
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -1,14 +1,16 @@
 """Callers' requests, the responses to them, and the state between the two."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+import xxhash
 
 from fescueflow.core import CustomerId, UpstreamId
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.buffers import AnswerBuffer
 from fescueflow.gateway.streams import StreamBody
 from fescueflow.platform import CallHeaders, Headers
-from fescueflow.routing import Route, ServiceId, Upstream
+from fescueflow.routing import PartId, Prompt, Route, ServiceId, Upstream
 
 
 @dataclass(frozen=True)
@@ -24,6 +26,24 @@
     is_caller_disconnected: Callable[[], bool]
 
 
+def describe_prompt(request: CallerRequest) -> Prompt:
+    """Return the prompt of a request.
+
+    Notes
+    -----
+    A request without shared parts counts as one part that its repeats share, so that
+    upstreams that crash under it are noticed, too.
+    """
+    prompt = request.headers.prompt
+    if prompt.shared_parts:
+        return prompt
+    digest = xxhash.xxh3_64()
+    for text in (request.method, request.host, request.target):
+        digest.update(f"{text}\n".encode())
+    digest.update(request.body)
+    return replace(prompt, shared_parts=(PartId(f"request-{digest.hexdigest()}"),))
+
+
 @dataclass
 class Response:
     """Status, headers and body for the caller; a stream's body is iterable.
@@ -42,6 +62,7 @@
     """State of a request over all its attempts."""
 
     request: CallerRequest
+    prompt: Prompt
     route: Route
     service: ServiceId
     customer: CustomerId | None
@@ -69,4 +90,4 @@
             self.attempt.cancel()
 
 
-__all__ = ["CallerRequest", "RequestContext", "Response"]
+__all__ = ["CallerRequest", "RequestContext", "Response", "describe_prompt"]
--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -125,6 +125,8 @@
                     self.send_with_length(421, self.make_seal(), b"")
                     return
                 parts = read_parts(self.headers.get("X-Prefix-Hash", ""))
+                # A request without parts may be fatal as a whole.
+                parts.append(self.path)
                 upstream.arrivals.append((time.monotonic(), parts))
                 upstream.answer(self, parts)
 
--- a/tests/gateway/test_query_of_death.py
+++ b/tests/gateway/test_query_of_death.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from fescueflow.gateway.quarantine_codec import QuarantineReport
 from tests.gateway.fake_servers import FakeStore
@@ -17,6 +18,11 @@
 STABLE_WINDOW_S = 3.0
 
 
+def send_part_of_a_head(handler):
+    handler.wfile.write(b"HTTP/1.1 200")
+    handler.close_connection = True
+
+
 class QueryOfDeathTest(unittest.TestCase):
     """Guards against one prompt part that ends an upstream after the other."""
 
@@ -66,6 +72,29 @@
         late = self.count_arrivals("fatal", bound_from)
         self.assertLessEqual(late, LATE_ARRIVALS_MAX)
 
+    def test_request_without_prompt_parts(self):
+        self.fatal_parts.add("/safe/fatal")
+        for _ in range(12):
+            self.assertIn(self.call([], route="/safe/fatal")[0], (502, 503))
+            self.assertEqual(self.call([], route="/safe/sound")[0], 200)
+        self.assertLessEqual(len(self.list_ends()), ENDS_MAX)
+        self.assertEqual(self.call([], route="/safe/fatal")[0], 503)
+
+    def test_lost_and_spoiled_answers_are_no_crashes(self):
+        """The upstreams reset connections and garble answers, but they run on."""
+        broken = (
+            lambda h: h.reset_connection(),
+            lambda h: h.send_with_length(200, [], b"without a seal"),
+            send_part_of_a_head,
+        )
+        with mock.patch.object(MortalUpstream, "answer") as scripted:
+            for number in range(12):
+                scripted.side_effect = lambda h, _, n=number: broken[n % 3](h)
+                self.call(["first", "popular"])
+        for gateway in self.fleet.gateways:
+            self.assertEqual(len(gateway._quarantine._crashes), 0)
+        self.assertEqual(self.call(["first", "popular"])[0], 200)
+
     def test_request_that_waits_while_its_part_is_quarantined(self):
         """It is taken back before the upstream begins to answer it."""
         self.fatal_parts.add("fatal")
