Refuse reports whose names or numbers fail later requests

A report with a count beyond floats or a name that can't be encoded was accepted, and each later request of the instance that placed its prompt by it failed with 500 until the report was forgotten, at most a minute. Reports, entries of upstreams and configurations were changed at random (8,000 of each); only reports failed. Cause: texts and numbers were converted, not checked. Change: fields.py checks names, counts and times; a report with an odd one is refused.

--- a/src/fescueflow/gateway/quarantine_codec.py
+++ b/src/fescueflow/gateway/quarantine_codec.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from fescueflow.core import UpstreamId
+from fescueflow.gateway.fields import decode_count, decode_name, decode_number
 from fescueflow.routing import CrashId, CrashUpdate, PartId, ServiceId
 
 
@@ -54,33 +55,23 @@
     """Return the crash that was encoded as a list."""
     upstream, started_at_ms, service, age_s, waits = entry
     return CrashUpdate(
-        CrashId(UpstreamId(str(upstream)), int(started_at_ms)),
-        ServiceId(str(service)),
-        decode_age(age_s),
-        {PartId(str(part)): decode_age(wait_s) for part, wait_s in waits},
+        CrashId(UpstreamId(decode_name(upstream)), decode_count(started_at_ms)),
+        ServiceId(decode_name(service)),
+        decode_number(age_s),
+        {PartId(decode_name(part)): decode_number(wait_s) for part, wait_s in waits},
     )
 
 
-def decode_age(value: Any) -> float:
-    """Return a number of seconds, at least 0.
-
-    Raises
-    ------
-    ValueError
-        If the value is not a finite number.
-    """
-    seconds = float(value)
-    if not math.isfinite(seconds):
-        raise ValueError(f"{value!r} is not a time")
-    return max(0.0, seconds)
-
-
 def decode_quarantine(document: Any) -> QuarantineReport:
     """Return the crashes and the progress in a report; earlier versions send none."""
     return QuarantineReport(
         tuple(decode_crash(entry) for entry in document.get("crashes", [])),
         tuple(
-            ProgressUpdate(ServiceId(str(service)), PartId(str(part)), decode_age(age))
+            ProgressUpdate(
+                ServiceId(decode_name(service)),
+                PartId(decode_name(part)),
+                decode_number(age),
+            )
             for service, part, age in document.get("progress", [])
         ),
     )
--- a/src/fescueflow/gateway/report_codec.py
+++ b/src/fescueflow/gateway/report_codec.py
@@ -8,6 +8,7 @@
 
 from fescueflow.core import InstanceId, UpstreamId, ZoneId
 from fescueflow.gateway.counts import CountUpdate
+from fescueflow.gateway.fields import decode_count, decode_name, decode_number
 from fescueflow.gateway.quarantine_codec import (
     QuarantineReport,
     decode_quarantine,
@@ -125,25 +126,32 @@
         for index, (capacity, rate) in enumerate(document.get("sizes", [])):
             records[index] = replace(
                 records[index],
-                capacity=max(0.0, float(capacity)),
-                rate=max(0.0, float(rate)),
+                capacity=decode_number(capacity),
+                rate=decode_number(rate),
             )
         loads = {
-            UpstreamId(name): (int(running), int(tokens))
+            UpstreamId(decode_name(name)): (
+                decode_count(running),
+                decode_count(tokens),
+            )
             for name, (running, tokens) in document["loads"].items()
         }
         holder_updates = [
             HolderUpdate(
-                ServiceId(str(service)),
-                str(key),
-                UpstreamId(str(upstream)),
-                max(0.0, float(age_s)),
+                ServiceId(decode_name(service)),
+                decode_name(key),
+                UpstreamId(decode_name(upstream)),
+                decode_number(age_s),
             )
             for service, key, upstream, age_s in document["holders"]
         ]
         # Earlier versions send no counts.
         counts = [
-            CountUpdate(UpstreamId(str(upstream)), int(count), max(0.0, float(age_s)))
+            CountUpdate(
+                UpstreamId(decode_name(upstream)),
+                decode_count(count),
+                decode_number(age_s),
+            )
             for upstream, count, age_s in document.get("counts", [])
         ]
         quarantine = decode_quarantine(document)
@@ -164,14 +172,14 @@
     """Return the record that was encoded as a list."""
     name, host, address, zone, incarnation, sequence, serving, age_s = entry
     return PeerRecord(
-        InstanceId(str(name)),
-        str(host),
-        str(address),
-        ZoneId(str(zone)),
-        int(incarnation),
-        int(sequence),
+        InstanceId(decode_name(name)),
+        decode_name(host),
+        decode_name(address),
+        ZoneId(decode_name(zone)),
+        decode_count(incarnation),
+        decode_count(sequence),
         bool(serving),
-        now - max(0.0, float(age_s)),
+        now - decode_number(age_s),
     )
 
 
--- /dev/null
+++ b/tests/gateway/test_odd_reports.py
@@ -0,0 +1,80 @@
+"""Tests of reports that are malformed in one of their fields."""
+
+import copy
+import json
+import unittest
+
+from fescueflow.gateway.quarantine_codec import ProgressUpdate, QuarantineReport
+from fescueflow.gateway.report_codec import (
+    PeerReport,
+    compress_report,
+    decompress_report,
+    encode_report,
+)
+from fescueflow.routing import HolderUpdate, Prompt
+from tests.fakes import FakeClock
+from tests.gateway.builders import make_peer
+from tests.gateway.fleet import Instance
+from tests.routing.builders import ENGINES, make_upstream
+from tests.routing.test_quarantine import make_update
+
+ODD_VALUES = (
+    None,
+    True,
+    -1,
+    1e999,
+    10**400,
+    "1e400",
+    "\ud800",
+    "x" * 999,
+    [],
+    {"a": 1},
+)
+
+
+def find_fields(document, path=()):
+    """Yield the paths of all values in a document."""
+    entries = document.items() if isinstance(document, dict) else enumerate(document)
+    for key, value in entries:
+        yield (*path, key)
+        if isinstance(value, dict | list):
+            yield from find_fields(value, (*path, key))
+
+
+class OddReportTest(unittest.TestCase):
+    """Guards against a report after which an instance fails all requests."""
+
+    def test_each_odd_value_in_each_field(self):
+        quarantine = QuarantineReport(
+            (make_update(0, 0.2, "a"),), (ProgressUpdate(ENGINES, "b", 0.5),)
+        )
+        report = PeerReport(
+            [make_peer(), make_peer("edge-c-1")],
+            {"u1": (1, 2)},
+            [HolderUpdate(ENGINES, "k", "u1", 0.1)],
+            quarantine=quarantine,
+        )
+        document = json.loads(decompress_report(encode_report(report, 0.0)))
+        for path in find_fields(document):
+            for value in ODD_VALUES:
+                changed = copy.deepcopy(document)
+                place = changed
+                for key in path[:-1]:
+                    place = place[key]
+                place[path[-1]] = value
+                with self.subTest(path=path, value=str(value)[:20]):
+                    self.check(compress_report(json.dumps(changed).encode()))
+
+    def check(self, data):
+        upstreams = [make_upstream(f"u{n}", started_at_ms=1) for n in range(2)]
+        instance = Instance(0, ["edge-0"], upstreams, FakeClock(), 1)
+        try:
+            instance.reporter.handle_report(data)
+        except ValueError:
+            pass
+        instance.report(is_named=False)
+        instance.selector.select(ENGINES, Prompt(), set(), 5.0).active_request.end()
+
+
+if __name__ == "__main__":
+    unittest.main()
