Wait once between two reports

Cause: the thread that reports waited twice for each report, 20 ms for hurried changes and the rest of the interval, and each wait is a wake-up. Change: it waits once; a hurried report waits for the rest of the 20 ms then.

--- a/src/fescueflow/gateway/peers.py
+++ b/src/fescueflow/gateway/peers.py
@@ -289,9 +289,10 @@
             except Exception as error:  # noqa: BLE001
                 # Without this thread, callers would not be sent to this instance.
                 log.error("unexpected error while reporting: {!r}", error)
-            self._clock.wait(self._stopped, HURRIED_INTERVAL_S)
-            rest_s = REPORT_INTERVAL_S - HURRIED_INTERVAL_S
-            if self._clock.wait(self._hurried, rest_s):
+            sent_at = self._clock.monotonic()
+            if self._clock.wait(self._hurried, REPORT_INTERVAL_S):
+                rest_s = sent_at + HURRIED_INTERVAL_S - self._clock.monotonic()
+                self._clock.wait(self._stopped, max(0.0, rest_s))
                 self._hurried.clear()
 
     def _receive_all(self) -> None:
