Load no packages of serve in the gateway

Cause found beside it: one import of a function that splits addresses made each process of the gateway load the settings and messages of serve, with pycapnp. Change: split_address is in core.

--- a/src/fescueflow/platform/records.py
+++ b/src/fescueflow/platform/records.py
@@ -14,8 +14,8 @@
     RegionId,
     UpstreamId,
     ZoneId,
+    split_address,
 )
-from fescueflow.settings import split_address
 
 # Limits the size of member records in datagrams.
 IDENTIFIER_PATTERN = re.compile(r"[!-~]{1,64}")
--- a/src/fescueflow/settings/parser.py
+++ b/src/fescueflow/settings/parser.py
@@ -1,13 +1,12 @@
 """Settings from command-line flags and ``FESCUEFLOW_*`` environment variables."""
 
 import argparse
-import ipaddress
 import re
 from collections.abc import Iterator, Mapping
 from typing import Any
 from urllib.parse import urlsplit
 
-from fescueflow.core import InvalidSettings
+from fescueflow.core import InvalidSettings, split_address
 from fescueflow.schema import SPECIFICATIONS, Settings, SettingSpecification
 
 ENVIRONMENT_PREFIX = "FESCUEFLOW_"
@@ -17,21 +16,6 @@
 KEYS_MAX = 2
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port`` into its parts.
-
-    Raises
-    ------
-    ValueError
-        If the address is not an IP address and a port from 1 to 65535.
-    """
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{address!r} is not ip:port")
-    ipaddress.ip_address(host.strip("[]"))
-    return host.strip("[]"), int(port)
-
-
 def parse_value(specification: SettingSpecification, text: str) -> str | int | bool:
     """Return the typed value of a setting.
 
