--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -46,7 +46,7 @@
 # other instances on the same crashes have arrived.
 SETTLED_AGE_S = 0.1
 CRASH_MESSAGE = "upstreams crash under a part of the prompt"
-# Delay of a retry if a quarantine ends at no known time, in seconds.
+# Longest delay of a retry; a quarantine may also end by a mend of the upstreams.
 RETRY_AFTER_MAX_S = 600.0
 
 log = logbook.Logger("quarantine")
@@ -133,7 +133,7 @@
         """
         now = self._clock.monotonic()
         if any(
-            quarantine.culprit.parts.issubset(prompt.shared_parts)
+            quarantine.applies_to(prompt.shared_parts, now)
             and now - quarantine.since >= SETTLED_AGE_S
             for quarantine in self._quarantines.get(service, ())
         ):
@@ -153,9 +153,8 @@
         with self._lock:
             now = self._clock.monotonic()
             for quarantine in self._quarantines.get(service, ()):
-                if quarantine.culprit.parts.issubset(parts):
-                    if now < quarantine.get_end():
-                        return self._check_trial(quarantine, now)
+                if quarantine.applies_to(parts, now):
+                    return self._check_trial(quarantine, now)
         return Verdict.ISOLATE
 
     def _check_trial(self, quarantine: Quarantine, now: float) -> Verdict:
@@ -183,13 +182,12 @@
     def get_retry_after_s(self, service: ServiceId, prompt: Prompt) -> float:
         """Return when a rejected request may be let through, in seconds from now."""
         now = self._clock.monotonic()
-        parts = frozenset(prompt.shared_parts)
-        ends = [
-            quarantine.get_next_trial_at() or quarantine.get_end()
+        changes = [
+            quarantine.find_next_change(now)
             for quarantine in self._quarantines.get(service, ())
-            if quarantine.culprit.parts <= parts
+            if quarantine.applies_to(prompt.shared_parts, now)
         ]
-        return min(RETRY_AFTER_MAX_S, max(1.0, max(ends, default=now) - now))
+        return min(RETRY_AFTER_MAX_S, max(changes, default=now) - now)
 
     def get_isolation_key(self, service: ServiceId, prompt: Prompt) -> str:
         """Return the key by which a suspected request's upstream is chosen."""
@@ -212,7 +210,7 @@
         ----------
         upstream : Upstream
         parts : iterable of PartId
-            None if no request waited for its first events.
+            Empty if no request waited for its first events.
         sent_at : float
             When the request was sent.
         """
--- a/src/fescueflow/routing/quarantine.py
+++ b/src/fescueflow/routing/quarantine.py
@@ -83,6 +83,15 @@
         """Return when the quarantine ends without a trial."""
         return self.culprit.last_at + QUARANTINE_S
 
+    def find_next_change(self, now: float) -> float:
+        """Return when the quarantine may end next, by a trial of any instance."""
+        times = [self.culprit.last_at + delay_s for delay_s in TRIAL_DELAYS_S]
+        return next((at for at in times if at > now), self.get_end())
+
+    def applies_to(self, parts: Iterable[PartId], now: float) -> bool:
+        """Return whether requests with these parts are rejected."""
+        return now < self.get_end() and self.culprit.parts.issubset(parts)
+
 
 @dataclass(slots=True)
 class EvidenceSet:
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -10,7 +10,7 @@
 from fescueflow.gateway.report_codec import PeerReport, decode_report, encode_report
 from fescueflow.metrics import Metrics
 from fescueflow.routing import Prompt, Verdict
-from fescueflow.routing.quarantine import TRIAL_DELAYS_S
+from fescueflow.routing.quarantine import QUARANTINE_S, TRIAL_DELAYS_S
 from tests.fakes import FakeClock
 from tests.gateway.builders import make_peer
 from tests.routing.builders import ENGINES, make_upstream
@@ -84,8 +84,19 @@
     def test_callers_return_when_something_can_have_changed(self):
         self.crash(self.instances)
         self.clock.advance(10.0)
-        delay_s = self.instances[0].get_retry_after_s(ENGINES, FATAL)
-        self.assertAlmostEqual(delay_s, TRIAL_DELAYS_S[0] - 10.0)
+        for instance in self.instances:
+            delay_s = instance.get_retry_after_s(ENGINES, FATAL)
+            self.assertAlmostEqual(delay_s, TRIAL_DELAYS_S[0] - 10.0)
+        self.clock.advance(60.0)
+        for instance in self.instances:
+            delay_s = instance.get_retry_after_s(ENGINES, FATAL)
+            self.assertAlmostEqual(delay_s, TRIAL_DELAYS_S[1] - 70.0)
+
+    def test_quarantine_ends_after_a_day(self):
+        self.crash(self.instances)
+        self.clock.advance(QUARANTINE_S)
+        self.assertEqual(self.check_all(FATAL), [Verdict.ISOLATE] * 4)
+        self.instances[0].check_waiting(ENGINES, FATAL)
 
 
 class ReportTest(QuarantineTestCase):
