Wait for the stage of a stop instead of a time in its tests

Cause: the tests of planned stops slept for half of the grace period, and others had little room beside load: with four upstreams of which three end, a fourth end would leave none for the sound requests. Change: they wait for the stage; six upstreams; more time until a first event. Checks and bounds are as before.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -5,12 +5,10 @@
 import threading
 import time
 
+from fescueflow.gateway.departure import Stage
 from tests.gateway.gateway_case import WAIT_S, GatewayTestCase
 
-# The grace period, and times within it: after the last connections are accepted, and
-# before unfinished responses are cut.
 GRACE_S = 3.0
-LATE_S = 1.5
 
 
 class PlannedStopTest(GatewayTestCase):
@@ -32,6 +30,9 @@
         self.addCleanup(thread.join)
         thread.start()
 
+    def get_stage(self):
+        return self.gateway._departure.get_stage()
+
     def send_part(self, target):
         """Return a connection on which the last byte of a request is missing."""
         caller = socket.create_connection(("127.0.0.1", self.ports["callers"]))
@@ -61,7 +62,7 @@
         self.wait_for(lambda: sum(self.count_arrivals()) == 1)
         caller = self.send_part(b"/once/2")
         self.start_leaving()
-        time.sleep(LATE_S)
+        self.wait_for(lambda: self.get_stage() is Stage.REFUSING)
         caller.sendall(b"x")
         status, body = self.read_answer(caller)
         self.assertEqual(status, 503)
@@ -83,6 +84,6 @@
         caller = self.send_part(b"/once/1")
         caller.sendall(b"x")
         self.start_leaving()
-        time.sleep(LATE_S)
+        self.wait_for(lambda: self.get_stage() is Stage.REFUSING)
         self.released.set()
         self.assertEqual(self.read_answer(caller), (200, b"answer"))
--- a/tests/gateway/test_query_of_death.py
+++ b/tests/gateway/test_query_of_death.py
@@ -34,7 +34,7 @@
         self.addCleanup(self.store.close)
         self.store.put("op/config", make_table(1))
         self.upstreams = [
-            MortalUpstream(f"u{n}", self.store, self.fatal_parts) for n in range(4)
+            MortalUpstream(f"u{n}", self.store, self.fatal_parts) for n in range(6)
         ]
         for upstream in self.upstreams:
             self.addCleanup(upstream.close)
@@ -99,7 +99,7 @@
         """It is taken back before the upstream begins to answer it."""
         self.fatal_parts.add("fatal")
         for upstream in self.upstreams:
-            upstream.first_event_s = 1.5
+            upstream.first_event_s = 3.0
         crashes = tuple(make_update(n, 9.0 - n, "fatal") for n in range(3))
 
         def quarantine():
