--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,6 @@
-"""Servers crash under one of the many parts of long chats' prompts.
+"""Servers crash under a prompt part right after the first write of their answer.
 
-``CHAT_PARTS`` changes the number of parts of a chat.
+With ``EVENTS_PER_WRITE=1`` the first write holds one event instead of two.
 """
 
 import os
@@ -15,8 +15,10 @@
 
 def check(record):
     """Run the case."""
-    chat_parts = int(os.environ.get("CHAT_PARTS", "120"))
-    traffic = poison.Traffic(chat_parts=chat_parts, is_faulty=s.is_troubled())
+    events_per_write = int(os.environ.get("EVENTS_PER_WRITE", "2"))
+    traffic = poison.Traffic(
+        events_per_write=events_per_write, is_faulty=s.is_troubled()
+    )
     return poison.Case(record, traffic).run()
 
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # The stand-ins need nothing but Python's standard library; this checks that they compile.
 set -eu
 cd "$(dirname "$0")"
-python3 -m py_compile standins.py poison.py */case.py
+python3 -m py_compile standins.py poison.py */*.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -155,6 +155,8 @@
         self.events = options.get("events", 30)
         self.gap_s = options.get("gap_s", 0.05)
         self.prefill_s = options.get("prefill_s", 0.05)
+        # Without framing, an answer has no length and ends with its connection.
+        self.framed = options.get("framed", True)
         # Whether a run ends when its connection is closed.
         self.drops = options.get("drops", True)
         self.events_per_write = options.get("events_per_write", 1)
@@ -186,7 +188,12 @@
         threading.Thread(
             target=self._accept, args=(self._listener,), daemon=True
         ).start()
-        entry = {
+        if self.store is not None:
+            self.store.put(f"servers/{self.name}", self.make_entry(cold_ms))
+
+    def make_entry(self, cold_ms=0):
+        """Return the server's entry in the store."""
+        return {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -197,7 +204,6 @@
             "sequence": 1,
             "born": self.born,
         }
-        self.store.put(f"servers/{self.name}", entry)
 
     def crash(self, back_after_s, new_name):
         """End every connection; the entry lapses and the server starts again later."""
@@ -313,8 +319,10 @@
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {name}.{attempt}\r\n"
-            f"X-Server-Load: {load}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            f"X-Server-Load: {load}\r\n"
         )
+        head += "Transfer-Encoding: chunked" if self.framed else "Connection: close"
+        head += "\r\n\r\n"
         # The head leaves with the first events.
         pending = head.encode("latin-1")
         number = after
@@ -331,7 +339,8 @@
             for _ in range(min(self.events_per_write, self.events - number)):
                 number += 1
                 event = f"id: {number}\ndata: {attempt} part {number}\n\n".encode()
-                pending += b"%x\r\n%s\r\n" % (len(event), event)
+                framed_event = b"%x\r\n%s\r\n" % (len(event), event)
+                pending += framed_event if self.framed else event
             self._write(connection, pending)
             pending = b""
             self.active[attempt] = number
@@ -340,9 +349,10 @@
                 self.crash(3.0, f"i-{random.randrange(1 << 32):08x}")
                 return False
             time.sleep(self.gap_s)
-        self._write(connection, b"0\r\n\r\n")
+        if self.framed:
+            self._write(connection, b"0\r\n\r\n")
         self.record.add(f"server {name} has finished {attempt}")
-        return not has_ended(connection)
+        return self.framed and not has_ended(connection)
 
     def _write(self, connection, data):
         try:
