Log how many parts a crash records and which are cleared

Change: 'upstream crashed' has waiting_parts (of the request seen here) and recorded_parts (of the crash); 'prompt parts cleared' and the counter prompt_parts_cleared show each clearing.

--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -45,6 +45,8 @@
 # Age of a quarantine at which requests that wait at upstreams are cancelled: reports of
 # other instances on the same crashes have arrived.
 SETTLED_AGE_S = 0.1
+# Parts named in one log line.
+LOGGED_PARTS_MAX = 8
 CRASH_MESSAGE = "upstreams crash under a part of the prompt"
 # Longest delay of a retry; a quarantine may also end by a mend of the upstreams.
 RETRY_AFTER_MAX_S = 600.0
@@ -225,8 +227,17 @@
             if changed:
                 self._update(service, now)
         if is_first and changed:
-            log.warning("upstream crashed", extra={"upstream": str(upstream.id)})
             self._metrics.count("upstream_crashes")
+        if changed:
+            known = self._crashes.find(crash)
+            log.warning(
+                "upstream crashed",
+                extra={
+                    "upstream": str(upstream.id),
+                    "waiting_parts": len(kept),
+                    "recorded_parts": len(known.waits_s) if known else 0,
+                },
+            )
         if changed:
             self._on_change()
 
@@ -347,7 +358,18 @@
         cleared = suspects - self._suspects.get(service, frozenset())
         for part in cleared.intersection(progress):
             self._progress_changed_at[service, part] = now
-        return not cleared.isdisjoint(progress)
+        if cleared.isdisjoint(progress):
+            return False
+        self._metrics.count("prompt_parts_cleared", len(cleared))
+        log.info(
+            "prompt parts cleared",
+            extra={
+                "service": str(service),
+                "count": len(cleared),
+                "prompt_parts": sorted(cleared)[:LOGGED_PARTS_MAX],
+            },
+        )
+        return True
 
     def _update(self, service: ServiceId, now: float) -> None:
         """Derive suspects and quarantines of a service from what is known."""
