--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -30,16 +30,13 @@
     parse_pause,
     parse_upstream_load,
 )
-from fescueflow.routing import AttemptFailure, PartId, Prompt, Upstream
+from fescueflow.routing import SURVIVAL_S, AttemptFailure, PartId, Prompt, Upstream
 
 # Largest error of an estimated load that counts as accurate: the imbalance bound allows
 # three requests above the multiple of the mean.
 ESTIMATE_TOLERANCE_REQUESTS = 3.0
 
 UNAVAILABLE_STATUS = 503
-# Events after which an answer counts as begun. An upstream may crash while it writes
-# the first one.
-BEGUN_EVENTS = 2
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
@@ -64,6 +61,8 @@
         self.selection = selection
         self.prompt = prompt
         self.event_count = 0
+        # When the first event arrived, and the latest one.
+        self.begun_at = self.progressed_at = started_at
         self.started_at = started_at
         self.exchange = exchange
         self._connection = connection
@@ -128,18 +127,27 @@
         """Return the whole body; its bytes are counted by the buffer."""
         return self.exchange.read_body(deadline, buffer)
 
-    def record_events(self, count: int) -> None:
+    def record_events(self, count: int, now: float) -> None:
         """Record that complete events of a stream have arrived."""
-        if not self.event_count:
+        if not self.has_begun:
             self.selection.active_request.mark_prompt_read()
+            self.begun_at = now
+            self._client.record_begun(self)
         self.event_count += count
-        if self.has_begun:
+        self.progressed_at = now
+        self._client.record_alive(self)
+        if self.has_survived:
             self._client.record_progress(self)
 
     @property
     def has_begun(self) -> bool:
-        """Whether the upstream has survived the beginning of the answer."""
-        return self.event_count >= BEGUN_EVENTS
+        """Whether events of the answer have arrived."""
+        return self.event_count > 0
+
+    @property
+    def has_survived(self) -> bool:
+        """Whether the upstream was alive long after it had begun the answer."""
+        return self.progressed_at - self.begun_at >= SURVIVAL_S
 
     def finish(self) -> None:
         """End after a complete response; the connection is reused if possible."""
@@ -219,6 +227,8 @@
             selection.active_request.end()
             is_down = isinstance(error, ConnectionRefusedError)
             self._record_unhealthy(upstream.id, is_down)
+            if is_down:
+                self._quarantine.record_refusal(upstream)
             self._metrics.count("attempts", end=AttemptFailure.NOT_SENT.value)
             raise ExchangeFailed(AttemptFailure.NOT_SENT, repr(error)) from error
         return Attempt(
@@ -294,12 +304,38 @@
         upstream = attempt.selection.upstream
         self._selector.record_success(upstream.id)
         self._quarantine.record_answer(upstream, attempt.started_at)
-        if attempt.exchange.has_marked_end:
-            self.record_progress(attempt)
+        if not attempt.has_begun:
+            self.record_begun(attempt)
+        self.record_alive(attempt)
         self._metrics.count("attempts", end="answered")
 
+    def record_begun(self, attempt: Attempt) -> None:
+        """Record that an answer has begun."""
+        self._quarantine.record_begun(
+            attempt.selection.upstream, attempt.prompt.shared_parts, attempt.started_at
+        )
+
+    def record_alive(self, attempt: Attempt) -> None:
+        """Record that data of the upstream has arrived."""
+        self._quarantine.record_alive(attempt.selection.upstream)
+
+    def check_survivors(self) -> None:
+        """Find out which upstreams have survived their latest answers.
+
+        Notes
+        -----
+        Where upstreams get few requests, no later data would tell. The end of an idle
+        connection shows a crash that no request has noticed.
+        """
+        for upstream in self._quarantine.list_overdue():
+            is_open = self._pool.has_open(upstream.address)
+            if is_open:
+                self._quarantine.record_alive(upstream)
+            elif is_open is False and self._is_down(upstream):
+                self._quarantine.record_refusal(upstream)
+
     def record_progress(self, attempt: Attempt) -> None:
-        """Record that an answer has begun, or ended well."""
+        """Record that the upstream has survived the beginning of the answer."""
         self._quarantine.record_progress(
             attempt.selection.upstream.service, attempt.prompt.shared_parts
         )
@@ -331,7 +367,7 @@
         if not attempt.has_begun:
             parts = attempt.prompt.shared_parts
         self._quarantine.record_crash(upstream, parts, attempt.started_at)
-        if attempt.has_begun:
+        if attempt.has_survived:
             self.record_progress(attempt)
 
     def _is_down(self, upstream: Upstream) -> bool:
@@ -362,4 +398,4 @@
     return "low" if reported_running > expected else "high"
 
 
-__all__ = ["BEGUN_EVENTS", "Attempt", "AttemptClient"]
+__all__ = ["Attempt", "AttemptClient"]
--- a/src/fescueflow/gateway/connections.py
+++ b/src/fescueflow/gateway/connections.py
@@ -72,6 +72,12 @@
                 return connection
             connection.close()
 
+    def has_open(self, address: str) -> bool | None:
+        """Return whether the latest idle connection is open; ``None`` without one."""
+        with self._lock:
+            idle = self._idle.get(address)
+            return idle[-1].is_reusable() if idle else None
+
     def open(self, address: str, timeout_s: float) -> UpstreamConnection:
         """Open a connection; raises ``OSError``."""
         host, _, port = address.rpartition(":")
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -11,7 +11,7 @@
     PromptQuarantined,
     RequestError,
 )
-from fescueflow.gateway.attempts import BEGUN_EVENTS, Attempt, AttemptClient
+from fescueflow.gateway.attempts import Attempt, AttemptClient
 from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
 from fescueflow.gateway.errors import adjust_error, make_error
 from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
@@ -180,6 +180,7 @@
         )
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
+        context.is_waiting = True
         log_selection(
             context,
             selection,
@@ -225,7 +226,7 @@
             If upstreams crash under a part of the prompt, as is known since the request
             was sent.
         """
-        if not admission.is_trial and context.event_count < BEGUN_EVENTS:
+        if not admission.is_trial and context.is_waiting:
             try:
                 self._quarantine.check_waiting(context.service, context.prompt)
             except PromptQuarantined:
@@ -268,7 +269,7 @@
         for part in attempt.iterate_parts(limit):
             events = splitter.feed(part)
             if events:
-                record_events(context, attempt, splitter)
+                record_events(context, attempt, splitter, self._clock.monotonic())
                 return events
         if not attempt.exchange.has_marked_end:
             raise ConnectionLost("the stream ended before its first event")
@@ -285,7 +286,9 @@
                 )
                 for part in attempt.iterate_parts(context.deadline, read_timeout_s):
                     if events := splitter.feed(part):
-                        record_events(context, attempt, splitter)
+                        record_events(
+                            context, attempt, splitter, self._clock.monotonic()
+                        )
                         yield events
                         # The caller's time to take the events does not count.
                         attempt.mark_progress()
@@ -381,11 +384,12 @@
 
 
 def record_events(
-    context: RequestContext, attempt: Attempt, splitter: EventSplitter
+    context: RequestContext, attempt: Attempt, splitter: EventSplitter, now: float
 ) -> None:
     """Count the events that have arrived since the last call."""
-    attempt.record_events(splitter.event_count - context.event_count)
+    attempt.record_events(splitter.event_count - context.event_count, now)
     context.event_count = splitter.event_count
+    context.is_waiting = False
 
 
 __all__ = ["Forwarder"]
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -118,6 +118,14 @@
             metrics=self._metrics,
             on_change=lambda: self._transport.hurry(),
         )
+        self._client = AttemptClient(
+            pool=self._pool,
+            selector=self._selector,
+            loads=self._loads,
+            clock=clock,
+            metrics=self._metrics,
+            quarantine=self._quarantine,
+        )
         self._relay = StoreRelay(
             peers=self._peers,
             send=lambda host, data: self._transport.send(host, data),
@@ -143,7 +151,7 @@
         self._transport = PeerTransport(
             address=(boot.host, boot.peer_port),
             choose_receivers=receivers.choose,
-            make_report=self._reporter.make_report,
+            make_report=self._make_report,
             on_report=self._reporter.handle_report,
             on_update=self._handle_update,
             clock=clock,
@@ -222,18 +230,10 @@
         )
 
     def _make_caller_server(self) -> GatewayServer:
-        client = AttemptClient(
-            pool=self._pool,
-            selector=self._selector,
-            loads=self._loads,
-            clock=self._clock,
-            metrics=self._metrics,
-            quarantine=self._quarantine,
-        )
         forwarder = Forwarder(
             platform_state=self._platform_state,
             selector=self._selector,
-            client=client,
+            client=self._client,
             clock=self._clock,
             quarantine=self._quarantine,
             buffers=AnswerBuffers(self._boot.memory_mb * 1e6),
@@ -267,6 +267,10 @@
             is_leaving=lambda: False,
         )
 
+    def _make_report(self) -> bytes:
+        self._client.check_survivors()
+        return self._reporter.make_report()
+
     def _reload(self) -> None:
         """Reload the settings; invalid settings change nothing."""
         if self._load is None:
--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -17,8 +17,10 @@
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine_codec import ProgressUpdate, QuarantineReport
+from fescueflow.gateway.quarantine_logs import describe, log_cleared, log_crash
 from fescueflow.metrics import Metrics
 from fescueflow.routing import (
+    BegunAnswer,
     Crash,
     CrashId,
     CrashTable,
@@ -27,11 +29,13 @@
     Prompt,
     Quarantine,
     ServiceId,
+    UnprovenAnswers,
     Upstream,
     Verdict,
     collect_evidence,
     find_culprits,
     has_quarantine,
+    make_crash_id,
     make_quarantine,
 )
 
@@ -45,8 +49,6 @@
 # Age of a quarantine at which requests that wait at upstreams are cancelled: reports of
 # other instances on the same crashes have arrived.
 SETTLED_AGE_S = 0.1
-# Parts named in one log line.
-LOGGED_PARTS_MAX = 8
 CRASH_MESSAGE = "upstreams crash under a part of the prompt"
 # Longest delay of a retry; a quarantine may also end by a mend of the upstreams.
 RETRY_AFTER_MAX_S = 600.0
@@ -80,7 +82,8 @@
 
     Notes
     -----
-    Without a crash, nothing is stored and each call returns at once.
+    Without a crash, only the answers that have just begun are stored, and nothing is
+    reported.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         self._started_at = clock.monotonic()
         self._lock = threading.Lock()
         self._crashes = CrashTable()
+        self._answers = UnprovenAnswers()
         self._suspects: dict[ServiceId, frozenset[PartId]] = {}
         self._quarantines: dict[ServiceId, list[Quarantine]] = {}
         # Time of the latest progress and of the latest report of it, by part.
@@ -203,6 +207,52 @@
         crash = self._crashes.find(make_crash_id(upstream))
         return crash is not None and crash.is_credible
 
+    def record_begun(
+        self, upstream: Upstream, parts: tuple[PartId, ...], sent_at: float
+    ) -> None:
+        """Record that an answer has begun, which the upstream may not survive.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        parts : tuple of PartId
+            Shared parts of the prompt.
+        sent_at : float
+            When the request was sent.
+        """
+        crash = self._crashes.find(make_crash_id(upstream))
+        if crash is not None and crash.is_credible:
+            if sent_at <= crash.at:
+                # Another connection's end was noticed before this answer was read.
+                self.record_crash(upstream, parts, sent_at)
+                return
+            self.record_answer(upstream, sent_at)
+        now = self._clock.monotonic()
+        with self._lock:
+            self._answers.add(BegunAnswer(upstream, parts, sent_at, now))
+
+    def record_alive(self, upstream: Upstream) -> None:
+        """Record data of an upstream: it has survived answers that began before."""
+        name, now = make_crash_id(upstream), self._clock.monotonic()
+        if not self._answers.has_proven(name, now) or self.has_crashed(upstream):
+            return
+        with self._lock:
+            proven = self._answers.take_proven(name, now)
+        for answer in proven:
+            self.record_progress(upstream.service, answer.parts)
+
+    def list_overdue(self) -> list[Upstream]:
+        """Return the upstreams from which a sign of life would prove an answer."""
+        if not len(self._answers):
+            return []
+        with self._lock:
+            return self._answers.list_overdue(self._clock.monotonic())
+
+    def record_refusal(self, upstream: Upstream) -> None:
+        """Record a refused connection: an upstream that had just answered is down."""
+        if self._answers.has_answers(make_crash_id(upstream)):
+            self.record_crash(upstream, (), self._clock.monotonic())
+
     def record_crash(
         self, upstream: Upstream, parts: Iterable[PartId], sent_at: float
     ) -> None:
@@ -224,23 +274,34 @@
             changed = self._crashes.record(
                 crash, service, kept, max(0.0, now - sent_at), now
             )
+            begun = self._record_unproven(crash, now)
+            changed = changed or bool(begun)
             if changed:
                 self._update(service, now)
         if is_first and changed:
             self._metrics.count("upstream_crashes")
         if changed:
-            known = self._crashes.find(crash)
-            log.warning(
-                "upstream crashed",
-                extra={
-                    "upstream": str(upstream.id),
-                    "waiting_parts": len(kept),
-                    "recorded_parts": len(known.waits_s) if known else 0,
-                },
-            )
-        if changed:
+            log_crash(upstream.id, len(kept) + begun, self._crashes.find(crash))
             self._on_change()
 
+    def _record_unproven(self, crash: CrashId, now: float) -> int:
+        """Record the parts of answers after which the upstream was not seen alive.
+
+        Returns
+        -------
+        int
+            Number of parts recorded.
+        """
+        known = self._crashes.find(crash)
+        count = 0
+        for answer in self._answers.take_all(crash, now):
+            wait_s = max(0.0, (known.at if known else now) - answer.sent_at)
+            service = answer.upstream.service
+            kept = self._choose_parts(service, answer.parts)
+            if self._crashes.record(crash, service, kept, wait_s, now):
+                count += len(kept)
+        return count
+
     def _choose_parts(
         self, service: ServiceId, parts: Iterable[PartId]
     ) -> list[PartId]:
@@ -261,7 +322,7 @@
             self._on_change()
 
     def record_answer(self, upstream: Upstream, sent_at: float) -> None:
-        """Record that an upstream answered a request completely."""
+        """Record that an upstream has answered a request, or begun to."""
         if not len(self._crashes):
             return
         with self._lock:
@@ -293,7 +354,10 @@
             for update in report.crashes:
                 known = self._crashes.find(update.id)
                 is_known = self._platform_state.has_listed(*update.id)
-                if self._crashes.merge(update, sender, is_known, now):
+                is_new = self._crashes.merge(update, sender, is_known, now)
+                if is_known and self._record_unproven(update.id, now):
+                    is_new = True
+                if is_new:
                     changed.add(update.service)
                     if known is None and is_known:
                         crashed.append(update.id.upstream)
@@ -312,6 +376,7 @@
             Whether it holds all that is known instead of recent changes, for
             instances that have started or missed a report.
         """
+        self._prove_listed()
         if not len(self._crashes) and not self._progress:
             return QuarantineReport()
         with self._lock:
@@ -328,6 +393,18 @@
             ]
             return QuarantineReport(crashes, tuple(recent[-REPORTED_PROGRESS_MAX:]))
 
+    def _prove_listed(self) -> None:
+        """Record progress of old answers whose upstreams are still listed."""
+        with self._lock:
+            expired = self._answers.take_expired(self._clock.monotonic())
+        if not expired or not self._suspects:
+            return
+        listed = {make_crash_id(u) for u in self._platform_state.list_all()}
+        for answer in expired:
+            name = make_crash_id(answer.upstream)
+            if name in listed and self._crashes.find(name) is None:
+                self.record_progress(answer.upstream.service, answer.parts)
+
     def _describe_crash(self, crash: Crash, now: float) -> CrashUpdate:
         suspects = self._suspects.get(crash.service, frozenset())
         waits_s = {p: wait for p, wait in crash.waits_s.items() if p in suspects}
@@ -361,14 +438,7 @@
         if cleared.isdisjoint(progress):
             return False
         self._metrics.count("prompt_parts_cleared", len(cleared))
-        log.info(
-            "prompt parts cleared",
-            extra={
-                "service": str(service),
-                "count": len(cleared),
-                "prompt_parts": sorted(cleared)[:LOGGED_PARTS_MAX],
-            },
-        )
+        log_cleared(service, cleared)
         return True
 
     def _update(self, service: ServiceId, now: float) -> None:
@@ -397,24 +467,9 @@
         self._crashes.trim(frozenset().union(*kept), now)
 
 
-def make_crash_id(upstream: Upstream) -> CrashId:
-    """Return the id of a crash of this start of an upstream."""
-    return CrashId(upstream.id, upstream.started_at_ms)
-
-
 def make_key(parts: Iterable[PartId]) -> str:
     """Return a text that identifies a set of parts."""
     return ",".join(sorted(parts))
 
 
-def describe(quarantine: Quarantine) -> dict[str, str | int | list[str]]:
-    """Return the log fields of a quarantine."""
-    return {
-        "service": str(quarantine.culprit.service),
-        "prompt_parts": sorted(quarantine.culprit.parts),
-        "crashes": len(quarantine.culprit.crashes),
-        "trials": quarantine.trials,
-    }
-
-
 __all__ = ["Admission", "PromptQuarantine"]
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -75,6 +75,8 @@
     may_have_run: bool = False
     # Complete events of all attempts.
     event_count: int = 0
+    # Whether no event of the current attempt has arrived.
+    is_waiting: bool = True
     # An upstream's error response, returned if no other upstream succeeds.
     fallback: Response | None = None
     # Upstream of the current attempt.
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -11,7 +11,13 @@
     predict,
     select_in_time,
 )
-from fescueflow.routing.crashes import Crash, CrashId, CrashTable, CrashUpdate
+from fescueflow.routing.crashes import (
+    Crash,
+    CrashId,
+    CrashTable,
+    CrashUpdate,
+    make_crash_id,
+)
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
@@ -64,13 +70,16 @@
 )
 from fescueflow.routing.retries import AttemptFailure, RetryBudget, may_retry
 from fescueflow.routing.selection import choose_service, find_customer, find_route
+from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
+    "SURVIVAL_S",
     "AdmissionDecision",
     "AttemptFailure",
     "BalanceBound",
+    "BegunAnswer",
     "CallerDisconnected",
     "CallerLimits",
     "Candidate",
@@ -100,6 +109,7 @@
     "Service",
     "ServiceId",
     "UnknownKey",
+    "UnprovenAnswers",
     "Upstream",
     "UpstreamHealth",
     "UpstreamLoad",
@@ -119,6 +129,7 @@
     "has_quarantine",
     "find_route",
     "is_copy_worthwhile",
+    "make_crash_id",
     "make_quarantine",
     "may_retry",
     "measure_balance",
--- a/src/fescueflow/routing/crashes.py
+++ b/src/fescueflow/routing/crashes.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from fescueflow.core import InstanceId, UpstreamId
-from fescueflow.routing.model import PartId, ServiceId
+from fescueflow.routing.model import PartId, ServiceId, Upstream
 
 # Crashes in the table. Five suffice to quarantine a part; the others leave room for
 # several parts and for crashes of other kinds.
@@ -36,6 +36,11 @@
     started_at_ms: int
 
 
+def make_crash_id(upstream: Upstream) -> CrashId:
+    """Return the id of a crash of this start of an upstream."""
+    return CrashId(upstream.id, upstream.started_at_ms)
+
+
 @dataclass(frozen=True, slots=True)
 class CrashUpdate:
     """A crash as instances report it to each other.
@@ -228,4 +233,5 @@
     "CrashId",
     "CrashTable",
     "CrashUpdate",
+    "make_crash_id",
 ]
--- a/tests/gateway/crash_fleet.py
+++ b/tests/gateway/crash_fleet.py
@@ -11,7 +11,7 @@
 from fescueflow.core import InstanceId, Overloaded, UpstreamId
 from fescueflow.gateway.exchange import ConnectionLost
 from fescueflow.gateway.peers import HURRIED_INTERVAL_S, REPORT_INTERVAL_S
-from fescueflow.routing import PartId, Prompt, Verdict
+from fescueflow.routing import SURVIVAL_S, PartId, Prompt, Verdict
 from tests.gateway.fleet import (
     NETWORK_DELAY_S,
     REMAINING_S,
@@ -22,8 +22,8 @@
 )
 from tests.routing.builders import ENGINES, make_upstream
 
-# Time from the start of an answer, of a size drawn around this, to its second event.
-EVENT_S = 0.05
+# Time between two events of an answer that are simulated.
+EVENT_S = 0.1
 FIRST_EVENT_S = 0.07
 # Time from a crash until the store drops the entry, and until the upstream is back.
 EXPIRY_S = 3.0
@@ -40,6 +40,9 @@
     ``fatal`` maps parts to the share of the requests that hold them. ``beside`` is
     added to each of these requests. ``crashes`` are groups of upstreams that crash
     without a cause, by seconds; ``lost`` is the share of datagrams lost or repeated.
+    ``survives_s`` is how long an upstream lives after the first write of an answer
+    with a fatal part; ``None`` if it ends before the write arrives. With ``is_short``,
+    the first write of each answer holds all of it.
     """
 
     fatal: dict = field(default_factory=dict)
@@ -48,6 +51,8 @@
     lost: float = 0.0
     at: float = 2.0
     killed: tuple = ()
+    survives_s: float | None = None
+    is_short: bool = False
 
 
 class CrashPool:
@@ -61,6 +66,9 @@
             raise ConnectionRefusedError(111, "Connection refused")
         return SimpleNamespace()
 
+    def has_open(self, address):
+        return address not in self._simulation.down
+
     def release(self, connection, keep_alive_s):
         """Drop the connection."""
 
@@ -130,6 +138,7 @@
 
     def _send_report(self, instance):
         self._hurried.discard(instance.name)
+        instance.client.check_survivors()
         receivers, data = instance.report(self.load.is_named)
         for receiver in receivers:
             copies = 1 + (self.random.random() < self.trouble.lost)
@@ -200,6 +209,8 @@
             prompt=prompt,
             started_at=now,
             has_begun=False,
+            has_survived=False,
+            begun_at=now,
             exchange=SimpleNamespace(get_keep_alive=lambda: (True, None)),
             retry=lambda: self._send(instance, prompt, tried, number + 1),
             instance=instance,
@@ -219,21 +230,40 @@
         if id(attempt) not in self.attempts[name]:
             return
         fatal = set(self.trouble.fatal).intersection(attempt.prompt.shared_parts)
-        for part in fatal:
-            self.ended_at.setdefault(part, []).append(self.now)
-        if fatal:
-            self._crash(name)
+        survives_s = self.trouble.survives_s
+        if fatal and survives_s is None:
+            self._crash_under(name, self._starts[name], fatal)
             return
+        if fatal:
+            start = self._starts[name]
+            self._schedule(survives_s, self._crash_under, name, start, fatal)
         self.sound["begun"] += is_sound and attempt.number == 1
         attempt.selection.active_request.mark_prompt_read()
+        attempt.has_begun, attempt.begun_at = True, self.clock.monotonic()
+        attempt.instance.client.record_begun(attempt)
+        if self.trouble.is_short:
+            self._end(name, attempt)
+            return
         self._schedule(EVENT_S, self._progress, name, attempt)
         duration_s = self.load.duration_s * self.random.uniform(0.5, 1.5)
         self._schedule(duration_s, self._end, name, attempt)
 
+    def _crash_under(self, name, start, parts):
+        if self._starts[name] != start or self._describe(name).address in self.down:
+            return
+        for part in parts:
+            self.ended_at.setdefault(part, []).append(self.now)
+        self._crash(name)
+
     def _progress(self, name, attempt):
         if id(attempt) in self.attempts[name]:
-            attempt.has_begun = True
-            attempt.instance.client.record_progress(attempt)
+            client = attempt.instance.client
+            age_s = self.clock.monotonic() - attempt.begun_at
+            attempt.has_survived = age_s >= SURVIVAL_S
+            client.record_alive(attempt)
+            if attempt.has_survived:
+                client.record_progress(attempt)
+            self._schedule(EVENT_S, self._progress, name, attempt)
 
     def _end(self, name, attempt):
         if self.attempts[name].pop(id(attempt), None) is not None:
@@ -242,6 +272,7 @@
             upstream = attempt.selection.upstream
             attempt.instance.selector.record_success(upstream.id)
             attempt.instance.quarantine.record_answer(upstream, attempt.started_at)
+            attempt.instance.client.record_alive(attempt)
 
     def _crash_all(self, names):
         for name in names:
@@ -264,7 +295,8 @@
     def _notice(self, attempt):
         attempt.selection.active_request.end()
         attempt.instance.client.record_failure(attempt, ConnectionLost("cut"))
-        if not attempt.has_begun and attempt.number < ATTEMPTS_MAX:
+        # Streams that have begun are resumed.
+        if attempt.number < ATTEMPTS_MAX:
             self._schedule(0.002, attempt.retry)
 
     def _restart(self, name):
--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -9,12 +9,14 @@
 from fescueflow.core import SeededRandomSource, SystemClock
 from fescueflow.gateway import Gateway
 from tests.gateway.builders import make_boot
-from tests.gateway.fake_servers import QuietHandler, QuietServer
+from tests.gateway.fake_servers import QuietHandler, QuietServer, make_event
 from tests.standins.fleet import find_free_port
 
 # Time from the end of an upstream until the store drops its entry: three heartbeats.
 EXPIRY_S = 1.0
 CALL_TIMEOUT_S = 10.0
+# Events of an answer.
+EVENTS = 3
 
 
 class MortalUpstream:
@@ -31,12 +33,21 @@
         Time from an end until the next start.
     first_event_s : float
         Time until the first event of an answer.
+
+    Attributes
+    ----------
+    first_write : int
+        Events in the first write of an answer with a fatal part; with all of them,
+        the answer is complete.
+    survives_s : float
+        Time from that write until the end.
     """
 
     def __init__(self, name, store, fatal_parts, down_s=1.5, first_event_s=0.02):
         self.name = name
         self.fatal_parts = fatal_parts
         self.first_event_s = first_event_s
+        self.first_write, self.survives_s = 0, 0.0
         # Time, prompt parts and id of each request, over all starts.
         self.arrivals = []
         self.ended_at = []
@@ -135,18 +146,39 @@
 
     def answer(self, handler, parts):
         """Send a stream of three events, or end."""
+        is_fatal = bool(self.fatal_parts & set(parts))
+        if is_fatal and self.first_write == EVENTS and not is_stream(handler.path):
+            time.sleep(self.first_event_s)
+            handler.send_sealed()
+            self._end_under()
+            return
         handler.start_stream()
         time.sleep(self.first_event_s)
-        if self.fatal_parts & set(parts):
-            self.end()
-            handler.close_connection = True
+        if is_fatal:
+            events = [make_event(number + 1) for number in range(self.first_write)]
+            chunks = [b"%x\r\n%s\r\n" % (len(event), event) for event in events]
+            last = b"0\r\n\r\n" if self.first_write == EVENTS else b""
+            handler.wfile.write(b"".join([*chunks, last]))
+            handler.close_connection = not last
+            self._end_under()
             return
-        for number in (1, 2, 3):
+        for number in range(1, EVENTS + 1):
             handler.send_event(number)
             time.sleep(0.01)
         with contextlib.suppress(OSError):
             handler.end_stream()
 
+    def _end_under(self):
+        """End under the answer that has just been written."""
+        if self.survives_s:
+            time.sleep(self.survives_s)
+        self.end()
+
+
+def is_stream(path):
+    """Return whether answers on a route are streams."""
+    return path.startswith(("/stream/", "/single/"))
+
 
 def read_parts(header):
     """Return the ids of the prompt parts in a request header, without the last."""
@@ -241,4 +273,4 @@
             connection.close()
 
 
-__all__ = ["LiveFleet", "MortalUpstream", "read_parts"]
+__all__ = ["EVENTS", "LiveFleet", "MortalUpstream", "read_parts"]
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -1,9 +1,10 @@
 """Randomised run of live instances before upstreams that end under some requests.
 
 ``python -m tests.gateway.soak --seeds 50`` plays 50 runs and prints a line for each.
-Share, number, moment and route of the faulty parts are drawn, and so are upstreams that
-end by themselves, instances that stop and start again, and new configurations, which
-come in series and overlap. Callers keep their connections until these are closed.
+Share, number, moment and route of the faulty parts are drawn, and so are the events
+that an upstream writes before it ends under them, upstreams that end by themselves,
+instances that stop and start again, and new configurations, which come in series and
+overlap. Callers keep their connections until these are closed.
 """
 
 import argparse
@@ -18,7 +19,7 @@
 
 from tests.gateway.fake_servers import FakeStore, make_event
 from tests.gateway.gateway_case import make_table
-from tests.gateway.mortal_upstreams import LiveFleet, MortalUpstream
+from tests.gateway.mortal_upstreams import EVENTS, LiveFleet, MortalUpstream
 
 INSTANCES = 3
 UPSTREAMS = 6
@@ -62,6 +63,10 @@
             MortalUpstream(f"u{n}", self.store, self.fatal_parts)
             for n in range(UPSTREAMS)
         ]
+        first_write = self.random.randint(0, EVENTS)
+        survives_s = self.random.choice((0.0, 0.005, 0.1))
+        for upstream in self.upstreams:
+            upstream.first_write, upstream.survives_s = first_write, survives_s
         self.fleet = LiveFleet(self.store, INSTANCES)
         self.share = self.random.choice((0.02, 0.05, 0.15))
         self.parts = ["fatal", "worse"][: self.random.randint(1, 2)]
--- a/tests/gateway/test_quarantine_fleet.py
+++ b/tests/gateway/test_quarantine_fleet.py
@@ -59,6 +59,12 @@
         crashes = ((3.0, NAMES[::3]), (8.0, NAMES[1::3]))
         self.check(Trouble({"fatal": 0.05}, crashes=crashes))
 
+    def test_first_write_before_the_end(self):
+        """The first write of an answer arrives, with all of a short one."""
+        self.check(Trouble({"fatal": 0.05}, survives_s=0.1))
+        short = Trouble({"fatal": 0.05}, survives_s=0.005, is_short=True)
+        self.check(short)
+
     def test_large_fleet(self):
         self.check(Trouble({"fatal": 0.02}), LARGE, seeds=(1,), seconds=8.0)
 
@@ -83,6 +89,8 @@
                 lost=drawn.choice((0.0, 0.1, 0.3)),
                 at=drawn.uniform(0.0, 4.0),
                 killed=((drawn.uniform(1.0, 6.0), f"edge-{drawn.randrange(8)}"),),
+                survives_s=drawn.choice((None, 0.0, 0.05, 0.2)),
+                is_short=drawn.random() < 0.2,
             )
             self.check(trouble, seeds=(seed,))
 
--- a/tests/gateway/test_query_of_death.py
+++ b/tests/gateway/test_query_of_death.py
@@ -8,7 +8,7 @@
 from fescueflow.gateway.quarantine_codec import QuarantineReport
 from tests.gateway.fake_servers import FakeStore
 from tests.gateway.gateway_case import WAIT_S, make_table
-from tests.gateway.mortal_upstreams import LiveFleet, MortalUpstream
+from tests.gateway.mortal_upstreams import EVENTS, LiveFleet, MortalUpstream
 from tests.routing.test_quarantine import make_update
 
 # Upstreams that may end under one part, and requests with it that may reach upstreams
@@ -23,8 +23,8 @@
     handler.close_connection = True
 
 
-class QueryOfDeathTest(unittest.TestCase):
-    """Guards against one prompt part that ends an upstream after the other."""
+class MortalCase(unittest.TestCase):
+    """Three instances before upstreams that end under a prompt part."""
 
     instances = 3
 
@@ -59,6 +59,10 @@
         arrivals = [a for u in self.upstreams for a in u.arrivals]
         return sum(at >= since and part in parts for at, parts, _ in arrivals)
 
+
+class QueryOfDeathTest(MortalCase):
+    """Guards against one prompt part that ends an upstream after the other."""
+
     def test_upstreams_ended_one_after_the_other(self):
         """A request with the part comes at any instance, and its caller repeats."""
         self.fatal_parts.add("fatal")
@@ -115,5 +119,37 @@
         self.assertEqual((status, self.list_ends()), (502, []), body)
 
 
+class FirstWriteTest(MortalCase):
+    """Guards against parts that are cleared by what an upstream wrote before it ended.
+
+    The first write of an answer may hold any number of its events, and the upstream
+    may live on for a moment.
+    """
+
+    def check(self, first_write, survives_s, route="/stream/1"):
+        for upstream in self.upstreams:
+            upstream.first_write, upstream.survives_s = first_write, survives_s
+        self.fatal_parts.add("fatal")
+        began = time.monotonic()
+        while time.monotonic() - began < 4.0:
+            self.call(["first", "fatal"], route=route)
+            self.call(["first", "sound"], route=route)
+        self.assertLessEqual(len(self.list_ends()), ENDS_MAX)
+        self.assertEqual(self.call(["first", "fatal"], route=route)[0], 503)
+        self.assertEqual(self.call(["first", "sound"], route=route)[0], 200)
+
+    def test_two_events_in_the_first_write(self):
+        self.check(2, 0.0)
+
+    def test_end_some_time_after_the_first_write(self):
+        self.check(2, 0.1)
+
+    def test_whole_answer_in_the_first_write(self):
+        self.check(EVENTS, 0.005)
+
+    def test_whole_answer_that_is_no_stream(self):
+        self.check(EVENTS, 0.005, route="/safe/1")
+
+
 if __name__ == "__main__":
     unittest.main()
