Remember progress of all suspected parts, and let long reports take turns

What callers saw: sound requests rejected.

Cause: progress was remembered for 1,024 parts, the latest ones. A part that is cleared is not suspected, so its progress is not noted again, and answers with many other parts pushed it out; the old crashes then counted once more, all at once. Reports had the same kind of cut: they named the last 64 parts with progress, always the same ones for as long as they were relayed, so that other instances kept the rest suspected.

Change: progress is remembered for as many parts as can be suspected (routing/progress.py), and a cleared part is removed from the crashes before it. What exceeds one report takes turns (gateway/report_turns.py): 2,048 parts, and 2,048 with progress.

Evidence: test_other_answers_do_not_bring_back_old_crashes failed before (ISOLATE where ADMIT is expected), test_parts_that_exceed_one_report, too.

--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -1,9 +1,8 @@
 """Quarantine of prompt parts, as this instance and the reports of others see it."""
 
 import threading
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import logbook
 
@@ -18,6 +17,7 @@
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine_codec import ProgressUpdate, QuarantineReport
 from fescueflow.gateway.quarantine_logs import describe, log_cleared, log_crash
+from fescueflow.gateway.report_turns import ReportTurns
 from fescueflow.metrics import Metrics
 from fescueflow.routing import (
     BegunAnswer,
@@ -26,6 +26,8 @@
     CrashTable,
     CrashUpdate,
     PartId,
+    PartKey,
+    ProgressTable,
     Prompt,
     Quarantine,
     ServiceId,
@@ -42,10 +44,9 @@
 # Time for which a change is in each report: three reports, so that a lost datagram does
 # not hide it.
 RELAY_AGE_MAX_S = 1.05
-# Parts whose progress is remembered; only parts that waited at a crash have an entry.
-PROGRESS_MAX = 1024
-# Parts with progress in one report, about 25 bytes each.
-REPORTED_PROGRESS_MAX = 64
+# Suspected parts in one report, about 7 bytes each after compression, and parts with
+# progress: those of the longest prompt. More take turns.
+REPORTED_PARTS_MAX = 2048
 # Age of a quarantine at which requests that wait at upstreams are cancelled: reports of
 # other instances on the same crashes have arrived.
 SETTLED_AGE_S = 0.1
@@ -106,9 +107,9 @@
         self._answers = UnprovenAnswers()
         self._suspects: dict[ServiceId, frozenset[PartId]] = {}
         self._quarantines: dict[ServiceId, list[Quarantine]] = {}
-        # Time of the latest progress and of the latest report of it, by part.
-        self._progress: OrderedDict[tuple[ServiceId, PartId], float] = OrderedDict()
-        self._progress_changed_at: dict[tuple[ServiceId, PartId], float] = {}
+        self._progress = ProgressTable()
+        self._part_turns = ReportTurns[tuple[Crash, PartId]](REPORTED_PARTS_MAX)
+        self._progress_turns = ReportTurns[PartKey](REPORTED_PARTS_MAX)
 
     def admit(self, service: ServiceId, prompt: Prompt) -> Admission:
         """Return how a request with this prompt is sent.
@@ -346,7 +347,11 @@
             for update in report.crashes:
                 known = self._crashes.find(update.id)
                 is_known = self._platform_state.has_listed(*update.id)
-                is_new = self._crashes.merge(update, sender, is_known, now)
+                waits_s = self._progress.select_waiting(
+                    update.service, update.waits_s, now - update.age_s
+                )
+                waiting = replace(update, waits_s=waits_s)
+                is_new = self._crashes.merge(waiting, sender, is_known, now)
                 if is_known and self._record_unproven(update.id, now):
                     is_new = True
                 if is_new:
@@ -373,17 +378,31 @@
             return QuarantineReport()
         with self._lock:
             now = self._clock.monotonic()
-            crashes = tuple(
-                self._describe_crash(crash, now)
-                for crash in self._crashes
-                if is_full or now - crash.changed_at <= RELAY_AGE_MAX_S
-            )
-            recent = [
+            since = float("-inf") if is_full else now - RELAY_AGE_MAX_S
+            progress = tuple(
                 ProgressUpdate(*key, max(0.0, now - self._progress[key]))
-                for key, changed_at in self._progress_changed_at.items()
-                if is_full or now - changed_at <= RELAY_AGE_MAX_S
-            ]
-            return QuarantineReport(crashes, tuple(recent[-REPORTED_PROGRESS_MAX:]))
+                for key in self._progress_turns.take(self._progress.list_changed(since))
+            )
+            return QuarantineReport(self._describe_crashes(since, now), progress)
+
+    def _describe_crashes(self, since: float, now: float) -> tuple[CrashUpdate, ...]:
+        """Return crashes that have changed; their parts take turns in reports."""
+        changed = [crash for crash in self._crashes if crash.changed_at >= since]
+        entries = [
+            (crash, part)
+            for crash in changed
+            for part in crash.waits_s
+            if part in self._suspects.get(crash.service, ())
+        ]
+        waits: dict[CrashId, dict[PartId, float]] = {crash.id: {} for crash in changed}
+        for crash, part in self._part_turns.take(entries):
+            waits[crash.id][part] = crash.waits_s[part]
+        return tuple(
+            CrashUpdate(
+                crash.id, crash.service, max(0.0, now - crash.at), waits[crash.id]
+            )
+            for crash in changed
+        )
 
     def _prove_listed(self) -> None:
         """Record progress of old answers whose upstreams are still listed."""
@@ -397,11 +416,6 @@
             if name in listed and self._crashes.find(name) is None:
                 self.record_progress(answer.upstream.service, answer.parts)
 
-    def _describe_crash(self, crash: Crash, now: float) -> CrashUpdate:
-        suspects = self._suspects.get(crash.service, frozenset())
-        waits_s = {p: wait for p, wait in crash.waits_s.items() if p in suspects}
-        return CrashUpdate(crash.id, crash.service, max(0.0, now - crash.at), waits_s)
-
     def _store_progress(
         self, service: ServiceId, progress: Mapping[PartId, float], now: float
     ) -> bool:
@@ -413,20 +427,13 @@
         a popular part to all others.
         """
         suspects = self._suspects.get(service, frozenset())
-        for part, at in progress.items():
-            self._progress[service, part] = max(
-                at, self._progress.get((service, part), at)
-            )
-            self._progress.move_to_end((service, part))
-        while len(self._progress) > PROGRESS_MAX:
-            oldest, _ = self._progress.popitem(last=False)
-            self._progress_changed_at.pop(oldest, None)
+        self._progress.store(service, progress)
         if suspects.isdisjoint(progress):
             return False
+        self._crashes.clear(service, progress)
         self._update(service, now)
         cleared = suspects - self._suspects.get(service, frozenset())
-        for part in cleared.intersection(progress):
-            self._progress_changed_at[service, part] = now
+        self._progress.mark_changed(service, cleared.intersection(progress), now)
         if cleared.isdisjoint(progress):
             return False
         self._metrics.count("prompt_parts_cleared", len(cleared))
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -51,6 +51,7 @@
     parse_prompt,
     rank_placements,
 )
+from fescueflow.routing.progress import PartKey, ProgressTable
 from fescueflow.routing.quarantine import (
     Culprit,
     Quarantine,
@@ -97,8 +98,10 @@
     "LoadReport",
     "NoRoute",
     "PartId",
+    "PartKey",
     "Placement",
     "Prediction",
+    "ProgressTable",
     "Prompt",
     "Quarantine",
     "RetryBudget",
--- a/src/fescueflow/routing/crashes.py
+++ b/src/fescueflow/routing/crashes.py
@@ -212,6 +212,14 @@
             crash.changed_at = now
         return is_changed
 
+    def clear(self, service: ServiceId, progress: Mapping[PartId, float]) -> None:
+        """Remove parts from the crashes before their progress."""
+        for crash in self._crashes.values():
+            if crash.service == service:
+                for part in crash.waits_s.keys() & progress.keys():
+                    if crash.at <= progress[part]:
+                        del crash.waits_s[part]
+
     def _iterate_parts(self, excepted: Crash) -> Iterator[PartId]:
         """Yield the parts that waited at other crashes of the service."""
         for crash in self:
--- a/src/fescueflow/routing/quarantine.py
+++ b/src/fescueflow/routing/quarantine.py
@@ -128,12 +128,14 @@
         (c for c in crashes if c.service == service and c.is_credible),
         key=lambda crash: (crash.at, crash.id),
     )
-    progressed = frozenset(part for name, part in progress if name == service)
-    evidence = EvidenceSet(found, progressed=progressed)
+    evidence = EvidenceSet(found)
     for crash in found:
         for part in crash.waits_s:
             if progress.get((service, part), float("-inf")) < crash.at:
                 evidence.by_part.setdefault(part, []).append(crash)
+    evidence.progressed = frozenset(
+        part for part in evidence.by_part if (service, part) in progress
+    )
     return evidence
 
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -199,6 +199,48 @@
             checked = Prompt(shared_parts=(*chats[0], *parts))
             self.assertEqual(self.check_all(checked), [Verdict.REJECT] * 4)
 
+    def test_other_answers_do_not_bring_back_old_crashes(self):
+        """The first part of all prompts, cleared, is quarantined with many others."""
+        quarantine = self.instances[0]
+        chats = [("first", *make_parts(f"chat{n}", 300)) for n in range(5)]
+        for number, chat in enumerate(chats):
+            self.clock.advance(0.5)
+            sent_at = self.clock.monotonic() - 0.1
+            upstream = make_upstream(f"u{number}", started_at_ms=1)
+            quarantine.record_crash(upstream, chat, sent_at)
+            self.clock.advance(0.1)
+            quarantine.record_progress(ENGINES, chat)
+        for number in range(len(chats), len(chats) + 20):
+            self.clock.advance(0.5)
+            others = make_parts(f"other{number}", 300)
+            upstream = make_upstream(f"u{number}", started_at_ms=1)
+            quarantine.record_crash(upstream, others, self.clock.monotonic())
+            quarantine.record_progress(ENGINES, others)
+        for chat in chats:
+            self.assertIs(
+                quarantine.check(ENGINES, Prompt(shared_parts=chat)), Verdict.ADMIT
+            )
+
+    def test_parts_that_exceed_one_report(self):
+        """All are heard of in turn, and so is the progress that clears them."""
+        sender = self.instances[0]
+        prompts = [make_parts(f"long{n}", 1400) for n in range(6)]
+        for number, parts in enumerate(prompts):
+            sent_at = self.clock.monotonic()
+            sender.record_crash(self.upstreams[number], parts, sent_at)
+        for _ in range(6):
+            self.report(sender, is_full=True)
+        for parts in prompts:
+            verdicts = self.check_all(Prompt(shared_parts=parts[:1]))
+            self.assertEqual(verdicts, [Verdict.ISOLATE] * 4)
+        for parts in prompts:
+            sender.record_progress(ENGINES, parts)
+        for _ in range(6):
+            self.report(sender, is_full=True)
+        for parts in prompts:
+            verdicts = self.check_all(Prompt(shared_parts=parts))
+            self.assertEqual(verdicts, [Verdict.ADMIT] * 4)
+
 
 if __name__ == "__main__":
     unittest.main()
