--- a/src/fescueflow/routing/progress.py
+++ b/src/fescueflow/routing/progress.py
@@ -6,6 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
 
 from fescueflow.routing.crashes import PARTS_MAX
 from fescueflow.routing.model import PartId, ServiceId
@@ -33,6 +34,14 @@
     def __len__(self) -> int:
         return len(self._times)
 
+    # The inherited methods catch an exception for each part that has no entry.
+    def get(self, key: PartKey, default: Any = None) -> Any:
+        """Return the time of a part's latest progress."""
+        return self._times.get(key, default)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._times
+
     def store(self, service: ServiceId, progress: Mapping[PartId, float]) -> None:
         """Store when parts made progress; the parts used last are kept."""
         for part, at in progress.items():
--- a/src/fescueflow/routing/quarantine.py
+++ b/src/fescueflow/routing/quarantine.py
@@ -97,8 +97,8 @@
 class EvidenceSet:
     """Crashes of one service, and those at which each suspected part waited.
 
-    ``progressed`` holds the parts with which an answer ever made progress, also before
-    the crashes.
+    ``progressed`` holds those of at least ``CRASHES_MIN`` crashes with which an answer
+    ever made progress, also before the crashes.
     """
 
     crashes: list[Crash]
@@ -129,12 +129,15 @@
         key=lambda crash: (crash.at, crash.id),
     )
     evidence = EvidenceSet(found)
+    by_part, find_progress, never = evidence.by_part, progress.get, float("-inf")
     for crash in found:
         for part in crash.waits_s:
-            if progress.get((service, part), float("-inf")) < crash.at:
-                evidence.by_part.setdefault(part, []).append(crash)
+            if find_progress((service, part), never) < crash.at:
+                by_part.setdefault(part, []).append(crash)
     evidence.progressed = frozenset(
-        part for part in evidence.by_part if (service, part) in progress
+        part
+        for part, crashes in by_part.items()
+        if len(crashes) >= CRASHES_MIN and (service, part) in progress
     )
     return evidence
 
