Wait for all reports of a crash before a popular part is quarantined

Cause: an instance hears of a crash from several others within some 60 ms. Until the report with the faulty part arrives, a sound part that waited there may be the only one that all crashes have in common. A quarantine found then counted as known, and what is known stays while nothing explains all of its crashes better.

Change: for a part that was ever answered, crashes count once they are 0.1 s old, and each report looks again. A quarantine counts as known once it was found again after its last crash has settled; until then a better explanation ends it. Parts that were never answered are quarantined at once, as before.

--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -20,6 +20,7 @@
 from fescueflow.gateway.report_turns import ReportTurns
 from fescueflow.metrics import Metrics
 from fescueflow.routing import (
+    SETTLED_AGE_S,
     BegunAnswer,
     Crash,
     CrashId,
@@ -47,9 +48,6 @@
 # Suspected parts in one report, about 7 bytes each after compression, and parts with
 # progress: those of the longest prompt. More take turns.
 REPORTED_PARTS_MAX = 2048
-# Age of a quarantine at which requests that wait at upstreams are cancelled: reports of
-# other instances on the same crashes have arrived.
-SETTLED_AGE_S = 0.1
 CRASH_MESSAGE = "upstreams crash under a part of the prompt"
 # Longest delay of a retry; a quarantine may also end by a mend of the upstreams.
 RETRY_AFTER_MAX_S = 600.0
@@ -107,6 +105,8 @@
         self._answers = UnprovenAnswers()
         self._suspects: dict[ServiceId, frozenset[PartId]] = {}
         self._quarantines: dict[ServiceId, list[Quarantine]] = {}
+        # Services with a crash on which reports may still arrive.
+        self._unsettled: set[ServiceId] = set()
         self._progress = ProgressTable()
         self._part_turns = ReportTurns[tuple[Crash, PartId]](REPORTED_PARTS_MAX)
         self._progress_turns = ReportTurns[PartKey](REPORTED_PARTS_MAX)
@@ -378,6 +378,8 @@
             return QuarantineReport()
         with self._lock:
             now = self._clock.monotonic()
+            for service in list(self._unsettled):
+                self._update(service, now)
             since = float("-inf") if is_full else now - RELAY_AGE_MAX_S
             progress = tuple(
                 ProgressUpdate(*key, max(0.0, now - self._progress[key]))
@@ -442,9 +444,15 @@
 
     def _update(self, service: ServiceId, now: float) -> None:
         """Derive suspects and quarantines of a service from what is known."""
-        evidence = collect_evidence(service, self._crashes, self._progress)
+        settled_until = now - SETTLED_AGE_S
+        evidence = collect_evidence(
+            service, self._crashes, self._progress, settled_until
+        )
+        self._unsettled.discard(service)
+        if evidence.crashes and evidence.crashes[-1].at > settled_until:
+            self._unsettled.add(service)
         before = self._quarantines.get(service, [])
-        known = [quarantine.culprit for quarantine in before]
+        known = [q.culprit for q in before if q.is_settled]
         found = [
             make_quarantine(culprit, before, now)
             for culprit in find_culprits(evidence, service, known)
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -53,6 +53,7 @@
 )
 from fescueflow.routing.progress import PartKey, ProgressTable
 from fescueflow.routing.quarantine import (
+    SETTLED_AGE_S,
     Culprit,
     Quarantine,
     Verdict,
@@ -76,6 +77,7 @@
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
+    "SETTLED_AGE_S",
     "SURVIVAL_S",
     "AdmissionDecision",
     "AttemptFailure",
--- a/src/fescueflow/routing/quarantine.py
+++ b/src/fescueflow/routing/quarantine.py
@@ -36,6 +36,8 @@
 TRIAL_DELAYS_S = (30.0, 600.0)
 # Time after the last crash at which a quarantine ends without a trial: a day.
 QUARANTINE_S = 86_400.0
+# Age at which the reports of all instances on a crash have arrived, in seconds.
+SETTLED_AGE_S = 0.1
 # Of the upstreams, the fraction with the fewest requests that gets suspected ones.
 ISOLATION_FRACTION = 1 / 3
 
@@ -67,11 +69,16 @@
 
 @dataclass(slots=True)
 class Quarantine:
-    """A quarantine of a culprit's parts and the trials that this instance made."""
+    """A quarantine of a culprit's parts and the trials that this instance made.
+
+    ``is_settled`` is whether it was found again after all reports on its crashes had
+    arrived. Until then, a better explanation ends it.
+    """
 
     culprit: Culprit
     since: float
     trials: int = 0
+    is_settled: bool = False
 
     def get_next_trial_at(self) -> float | None:
         """Return when the next request may be let through; ``None`` if never."""
@@ -98,10 +105,12 @@
     """Crashes of one service, and those at which each suspected part waited.
 
     ``progressed`` holds those of at least ``CRASHES_MIN`` crashes with which an answer
-    ever made progress, also before the crashes.
+    ever made progress, also before the crashes. All reports on crashes that are not
+    later than ``settled_until`` have arrived.
     """
 
     crashes: list[Crash]
+    settled_until: float = float("inf")
     by_part: dict[PartId, list[Crash]] = field(default_factory=dict)
     progressed: frozenset[PartId] = frozenset()
 
@@ -109,11 +118,25 @@
         """Return the crashes at which a part waited."""
         return frozenset(crash.id for crash in self.by_part[part])
 
+    def list_counted(self, part: PartId) -> list[Crash]:
+        """Return the crashes that may quarantine a part, in order of time.
+
+        Notes
+        -----
+        A popular part is in the first reports on each crash. Until the others arrive,
+        it may be the only one that all crashes have in common.
+        """
+        crashes = self.by_part[part]
+        if part not in self.progressed:
+            return crashes
+        return [crash for crash in crashes if crash.at <= self.settled_until]
+
 
 def collect_evidence(
     service: ServiceId,
     crashes: Iterable[Crash],
     progress: Mapping[tuple[ServiceId, PartId], float],
+    settled_until: float = float("inf"),
 ) -> EvidenceSet:
     """Return the crashes of a service, by part and in order of time.
 
@@ -123,12 +146,14 @@
     crashes : iterable of Crash
     progress : mapping of (ServiceId, PartId) to float
         When an answer with a part last made progress. It clears earlier crashes.
+    settled_until : float, optional
+        Reports on later crashes may still arrive.
     """
     found = sorted(
         (c for c in crashes if c.service == service and c.is_credible),
         key=lambda crash: (crash.at, crash.id),
     )
-    evidence = EvidenceSet(found)
+    evidence = EvidenceSet(found, settled_until)
     by_part, find_progress, never = evidence.by_part, progress.get, float("-inf")
     for crash in found:
         for part in crash.waits_s:
@@ -201,7 +226,7 @@
         Crashes under other parts. Some of the part's crashes must be others: else, it
         is only seen beside these parts.
     """
-    crashes = evidence.by_part[part]
+    crashes = evidence.list_counted(part)
     unexplained = sum(crash.id not in explained for crash in crashes)
     return (
         unexplained >= UNEXPLAINED_MIN
@@ -291,7 +316,10 @@
     parts = culprit.parts
     since = min((q.since for q in before if q.culprit.parts == parts), default=now)
     trials = max((q.trials for q in before if parts <= q.culprit.parts), default=0)
-    return Quarantine(culprit, since, trials)
+    is_settled = now - culprit.last_at >= SETTLED_AGE_S or any(
+        q.is_settled for q in before if q.culprit.parts == parts
+    )
+    return Quarantine(culprit, since, trials, is_settled)
 
 
 def has_quarantine(quarantines: Iterable[Quarantine], parts: frozenset[PartId]) -> bool:
@@ -325,6 +353,7 @@
 
 
 __all__ = [
+    "SETTLED_AGE_S",
     "Culprit",
     "Quarantine",
     "Verdict",
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -7,6 +7,7 @@
 
 from fescueflow.core import InstanceId
 from fescueflow.routing import (
+    SETTLED_AGE_S,
     CrashId,
     CrashTable,
     CrashUpdate,
@@ -28,13 +29,13 @@
     return CrashUpdate(CrashId(f"u{number}", 1), ENGINES, age_s, waits_s)
 
 
-def find_parts(updates, progress=None, known=()):
+def find_parts(updates, progress=None, known=(), now=NOW + 1.0):
     """Return the sets of parts that explain the crashes; some may be known already."""
     table = CrashTable()
     for update in updates:
         table.merge(update, InstanceId("i1"), True, NOW)
     cleared = {(ENGINES, part): at for part, at in (progress or {}).items()}
-    evidence = collect_evidence(ENGINES, table, cleared)
+    evidence = collect_evidence(ENGINES, table, cleared, now - SETTLED_AGE_S)
     before = [Culprit(ENGINES, frozenset(p), frozenset(), 0.0) for p in known]
     return [set(c.parts) for c in find_culprits(evidence, ENGINES, before)]
 
@@ -52,6 +53,13 @@
     def test_progress_between_crashes(self):
         self.assertEqual(find_parts(SERIES, {"first": 99.0, "fatal": 92.5}), [])
 
+    def test_popular_part_until_all_reports_have_arrived(self):
+        """The first report on the last crash names it and not the faulty part."""
+        crashes = [make_update(n, 9.0 - n, "first fatal") for n in range(4)]
+        crashes.append(make_update(4, 0.05, "first"))
+        progress = {"first": 90.5}
+        self.assertNotIn({"first"}, find_parts(crashes, progress, now=NOW))
+
     def test_progress_long_before(self):
         """A part that was answered once takes the most crashes."""
         before = {"first": 99.0, "fatal": 90.0}
