Count crashes after a request was given up, and notice them before the next one

An attempt that this instance ends itself (the caller has left, the answer is late, malformed or no rest of the stream) was forgotten, so that the crash named no part. The end of idle connections was looked for with the reports only, and only 0.25 s after an answer.

Change: an attempt that is given up before its first event counts as waiting until its upstream was seen alive 0.25 s later; it never counts as progress. Idle connections of upstreams that have just answered are looked at before each request, at most every 20 ms. The stand-in resumes streams after Last-Event-Id now, as upstreams do.

UnnoticedCrashTest checks requests that were given up and crashes that another instance reports.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -14,6 +14,7 @@
     render_request,
 )
 from fescueflow.gateway.loads import LoadTracker
+from fescueflow.gateway.peers import HURRIED_INTERVAL_S
 from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.selection import Selection, UpstreamSelector
 from fescueflow.metrics import Metrics
@@ -40,6 +41,9 @@
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
+# Least time between two looks at the connections of upstreams that have just answered:
+# that between reports on a crash.
+SURVIVOR_CHECK_INTERVAL_S = HURRIED_INTERVAL_S
 
 log = logbook.Logger("attempts")
 
@@ -159,11 +163,14 @@
         if self._end():
             self._connection.close()
             self._client.record_failure(self, failure)
+            if failure.kind.may_have_run:
+                self._client.record_abandoned(self)
 
     def cancel(self) -> None:
         """End after a disconnect or a passed deadline; closes the connection."""
         if self._end():
             self._connection.close()
+            self._client.record_abandoned(self)
 
     def _end(self) -> bool:
         ended, self._ended = self._ended, True
@@ -196,6 +203,7 @@
         quarantine: PromptQuarantine,
     ) -> None:
         self._quarantine = quarantine
+        self._next_check_at = clock.monotonic()
         self._pool = pool
         self._selector = selector
         self._loads = loads
@@ -315,6 +323,15 @@
             attempt.selection.upstream, attempt.prompt.shared_parts, attempt.started_at
         )
 
+    def record_abandoned(self, attempt: Attempt) -> None:
+        """Record an attempt whose upstream may still begin to answer it."""
+        if not attempt.has_begun:
+            self._quarantine.record_abandoned(
+                attempt.selection.upstream,
+                attempt.prompt.shared_parts,
+                attempt.started_at,
+            )
+
     def record_alive(self, attempt: Attempt) -> None:
         """Record that data of the upstream has arrived."""
         self._quarantine.record_alive(attempt.selection.upstream)
@@ -327,7 +344,11 @@
         Where upstreams get few requests, no later data would tell. The end of an idle
         connection shows a crash that no request has noticed.
         """
-        for upstream in self._quarantine.list_overdue():
+        now = self._clock.monotonic()
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + SURVIVOR_CHECK_INTERVAL_S
+        for upstream in self._quarantine.list_unproven():
             is_open = self._pool.has_open(upstream.address)
             if is_open:
                 self._quarantine.record_alive(upstream)
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -170,6 +170,7 @@
         if now >= context.deadline:
             raise DeadlineExceeded("the deadline passed")
         prompt = context.prompt
+        self._client.check_survivors()
         admission = self._quarantine.admit(context.service, prompt)
         selection = self._selector.select(
             context.service,
--- a/src/fescueflow/gateway/quarantine.py
+++ b/src/fescueflow/gateway/quarantine.py
@@ -221,16 +221,33 @@
         sent_at : float
             When the request was sent.
         """
+        crash = self._crashes.find(make_crash_id(upstream))
+        if crash is not None and sent_at > crash.at:
+            self.record_answer(upstream, sent_at)
+        self._record_beginning(upstream, parts, sent_at, is_seen=True)
+
+    def record_abandoned(
+        self, upstream: Upstream, parts: tuple[PartId, ...], sent_at: float
+    ) -> None:
+        """Record that a request was given up, which the upstream may still answer."""
+        self._record_beginning(upstream, parts, sent_at, is_seen=False)
+
+    def _record_beginning(
+        self,
+        upstream: Upstream,
+        parts: tuple[PartId, ...],
+        sent_at: float,
+        is_seen: bool,
+    ) -> None:
         crash = self._crashes.find(make_crash_id(upstream))
         if crash is not None and crash.is_credible:
+            # Another connection's end was noticed before this answer was read.
             if sent_at <= crash.at:
-                # Another connection's end was noticed before this answer was read.
                 self.record_crash(upstream, parts, sent_at)
-                return
-            self.record_answer(upstream, sent_at)
+            return
         now = self._clock.monotonic()
         with self._lock:
-            self._answers.add(BegunAnswer(upstream, parts, sent_at, now))
+            self._answers.add(BegunAnswer(upstream, parts, sent_at, now, is_seen))
 
     def record_alive(self, upstream: Upstream) -> None:
         """Record data of an upstream: it has survived answers that began before."""
@@ -240,14 +257,13 @@
         with self._lock:
             proven = self._answers.take_proven(name, now)
         for answer in proven:
-            self.record_progress(upstream.service, answer.parts)
+            if answer.is_seen:
+                self.record_progress(upstream.service, answer.parts)
 
-    def list_overdue(self) -> list[Upstream]:
-        """Return the upstreams from which a sign of life would prove an answer."""
-        if not len(self._answers):
-            return []
+    def list_unproven(self) -> list[Upstream]:
+        """Return the upstreams that have begun to answer, not seen alive since."""
         with self._lock:
-            return self._answers.list_overdue(self._clock.monotonic())
+            return self._answers.list_upstreams()
 
     def record_refusal(self, upstream: Upstream) -> None:
         """Record a refused connection: an upstream that had just answered is down."""
@@ -415,7 +431,8 @@
         listed = {make_crash_id(u) for u in self._platform_state.list_all()}
         for answer in expired:
             name = make_crash_id(answer.upstream)
-            if name in listed and self._crashes.find(name) is None:
+            is_alive = name in listed and self._crashes.find(name) is None
+            if is_alive and answer.is_seen:
                 self.record_progress(answer.upstream.service, answer.parts)
 
     def _store_progress(
--- a/src/fescueflow/routing/survival.py
+++ b/src/fescueflow/routing/survival.py
@@ -26,12 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BegunAnswer:
-    """An answer of an upstream and the shared parts of its prompt."""
+    """An answer of an upstream and the shared parts of its prompt.
+
+    An attempt that was given up before its first event counts as begun then, as the
+    upstream may still answer it; ``is_seen`` is false for it, and it proves nothing.
+    """
 
     upstream: Upstream
     parts: tuple[PartId, ...]
     sent_at: float
     begun_at: float
+    is_seen: bool = True
 
 
 class UnprovenAnswers:
@@ -51,13 +56,9 @@
             answers = self._answers[name] = deque(maxlen=ANSWERS_MAX)
         answers.append(answer)
 
-    def list_overdue(self, now: float) -> list[Upstream]:
-        """Return the upstreams from which a sign of life would prove an answer."""
-        return [
-            answers[0].upstream
-            for answers in self._answers.values()
-            if now - answers[0].begun_at >= SURVIVAL_S
-        ]
+    def list_upstreams(self) -> list[Upstream]:
+        """Return the upstreams of the answers."""
+        return [answers[0].upstream for answers in self._answers.values()]
 
     def has_answers(self, upstream: CrashId) -> bool:
         """Return whether an answer of an upstream is kept; needs no lock."""
--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -154,15 +154,17 @@
             return
         handler.start_stream()
         time.sleep(self.first_event_s)
+        numbers = range(int(handler.headers.get("Last-Event-Id", 0)) + 1, EVENTS + 1)
         if is_fatal:
-            events = [make_event(number + 1) for number in range(self.first_write)]
+            written = numbers[: self.first_write]
+            events = [make_event(number) for number in written]
             chunks = [b"%x\r\n%s\r\n" % (len(event), event) for event in events]
-            last = b"0\r\n\r\n" if self.first_write == EVENTS else b""
+            last = b"0\r\n\r\n" if written and written[-1] == EVENTS else b""
             handler.wfile.write(b"".join([*chunks, last]))
             handler.close_connection = not last
             self._end_under()
             return
-        for number in range(1, EVENTS + 1):
+        for number in numbers:
             handler.send_event(number)
             time.sleep(0.01)
         with contextlib.suppress(OSError):
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -147,6 +147,54 @@
         self.assertFalse(quarantine._progress or quarantine._suspects)
 
 
+class UnnoticedCrashTest(QuarantineTestCase):
+    """Guards against crashes that no request of an instance waits for."""
+
+    def abandon(self, number, delay_s):
+        """Give up a request; its upstream crashes later, which a connection shows."""
+        self.clock.advance(0.5)
+        quarantine, upstream = self.instances[0], self.upstreams[number]
+        sent_at = self.clock.monotonic() - 0.1
+        quarantine.record_abandoned(upstream, FATAL.shared_parts, sent_at)
+        self.clock.advance(delay_s)
+        quarantine.record_refusal(upstream)
+
+    def test_requests_that_were_given_up_before_the_crash(self):
+        """The caller left, or the answer was late or malformed."""
+        for number in range(3):
+            self.abandon(number, 0.1)
+        self.assertIs(self.instances[0].check(ENGINES, FATAL), Verdict.REJECT)
+
+    def test_upstream_that_lives_proves_nothing_of_requests_that_were_given_up(self):
+        quarantine = self.instances[0]
+        for number in range(2):
+            self.abandon(number, 0.1)
+        sent_at = self.clock.monotonic()
+        quarantine.record_abandoned(self.upstreams[4], FATAL.shared_parts, sent_at)
+        self.clock.advance(1.0)
+        quarantine.record_alive(self.upstreams[4])
+        self.abandon(2, 0.1)
+        self.assertIs(quarantine.check(ENGINES, FATAL), Verdict.REJECT)
+
+    def test_crash_that_another_instance_reports(self):
+        """The answers that this instance has just got from the upstream count."""
+        for number in range(3):
+            self.clock.advance(0.5)
+            sent_at = self.clock.monotonic() - 0.1
+            for instance in self.instances[:2]:
+                instance.record_begun(self.upstreams[number], ("first",), sent_at)
+            beginner = self.instances[2]
+            beginner.record_begun(self.upstreams[number], FATAL.shared_parts, sent_at)
+            self.instances[3].record_crash(self.upstreams[number], (), sent_at)
+            report = self.instances[3].make_report(False)
+            for instance in self.instances[:3]:
+                instance.merge(report, SENDER)
+            report = beginner.make_report(False)
+            for instance in (*self.instances[:2], self.instances[3]):
+                instance.merge(report, SENDER)
+        self.assertEqual(self.check_all(FATAL), [Verdict.REJECT] * 4)
+
+
 class ManyPartsTest(QuarantineTestCase):
     """Guards against lists that are cut in the same place crash after crash.
 
