Refuse a response whose head is cut, also in serve, the command line and calls

What callers saw: an operator reports that a server stopped in the middle of a head and that its clients got a 200 with an empty body. In serve, a cut head counted as a whole response without a body (Content-Length: 0, 204) and as a refusal that promises not_run (503); in calls of the platform and of the command line, as an empty response.

Cause: http.client takes the end of the connection for the end of the head, and the headers before it stand. The gateway has a reader of its own that waits for the empty line. A read of limited size also reports no early end of a body.

Change: TimedConnection knows whether the connection ended while the head was read, and serve, read_url and the command line check it; the command line also checks the length.

--- a/src/fescueflow/cli/remote.py
+++ b/src/fescueflow/cli/remote.py
@@ -2,12 +2,17 @@
 
 import http.client
 import json
+import socket
+import time
 from typing import Any
 from urllib.parse import urlsplit
 
 from fescueflow.core import FescueflowError
+from fescueflow.http1 import TimedConnection
 
+# Limits for each read and for the whole response, in seconds.
 REQUEST_TIMEOUT_S = 5.0
+TOTAL_TIMEOUT_S = 60.0
 RESPONSE_BYTES_MAX = 64 << 20
 
 
@@ -33,16 +38,22 @@
     parts = urlsplit(address if "//" in address else f"http://{address}")
     url = f"http://{parts.netloc}{parts.path.rstrip('/')}{path}"
     try:
-        connection = http.client.HTTPConnection(
-            parts.hostname or "", parts.port or 80, timeout=REQUEST_TIMEOUT_S
-        )
-        try:
+        connection = http.client.HTTPConnection(parts.hostname or "", parts.port or 80)
+        with socket.create_connection(
+            (connection.host, connection.port), REQUEST_TIMEOUT_S
+        ) as opened:
+            timed_connection = TimedConnection(
+                opened, time.monotonic() + TOTAL_TIMEOUT_S, REQUEST_TIMEOUT_S
+            )
+            connection.sock = timed_connection
             connection.request("GET", parts.path.rstrip("/") + path)
             response = connection.getresponse()
+            timed_connection.check_head()
             body = response.read(RESPONSE_BYTES_MAX)
+            if response.length:
+                # A read of limited size reports no early end.
+                raise http.client.IncompleteRead(body)
             headers = {name.lower(): value for name, value in response.getheaders()}
-        finally:
-            connection.close()
     except (OSError, ValueError, http.client.HTTPException) as error:
         raise RemoteError(f"{url}: {error or type(error).__name__}") from error
     if response.status != 200:
--- a/src/fescueflow/delivery/exchange.py
+++ b/src/fescueflow/delivery/exchange.py
@@ -168,6 +168,7 @@
             )
             self._response = response
             response.begin()
+            timed_connection.check_head()
         self._socket_timeout_s = None
         self.status = response.status
         self.headers = response.getheaders()
--- a/src/fescueflow/http1/timed.py
+++ b/src/fescueflow/http1/timed.py
@@ -1,5 +1,6 @@
 """Socket reads with an idle timeout and a total time limit."""
 
+import http.client
 import io
 import socket
 import time
@@ -32,6 +33,7 @@
         self._deadline = deadline
         self._read_timeout_s = read_timeout_s
         self._now = now
+        self.has_ended = False
 
     def readable(self) -> bool:
         """Return True."""
@@ -46,7 +48,9 @@
             ``TimeoutError`` if either limit is exceeded.
         """
         self._set_timeout()
-        return self._connection.recv_into(buffer)
+        count = self._connection.recv_into(buffer)
+        self.has_ended = self.has_ended or not count
+        return count
 
     def receive(self, count: int) -> bytes:
         """Return up to ``count`` bytes, empty at the end.
@@ -87,6 +91,19 @@
         self.sendall = connection.sendall
         self.recv = self._stream.receive
 
+    def check_head(self) -> None:
+        """Check that the connection did not end within the head that was just read.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            If it did. ``http.client`` takes the end of the connection for that of the
+            head, so that a cut one without its length may look like that of a whole
+            response.
+        """
+        if self._stream.has_ended:
+            raise http.client.IncompleteRead(b"")
+
     def close(self) -> None:
         """Do nothing, so that the rest of the response can be read."""
 
--- a/src/fescueflow/platform/http.py
+++ b/src/fescueflow/platform/http.py
@@ -84,13 +84,15 @@
     try:
         connection.settimeout(limits.read_timeout_s)
         http_connection = http.client.HTTPConnection(host, parts.port or 80)
-        http_connection.sock = TimedConnection(
+        timed_connection = TimedConnection(
             connection, time.monotonic() + limits.total_s, limits.read_timeout_s
         )
+        http_connection.sock = timed_connection
         http_connection.request(
             "GET", target, headers={"Connection": "close", **(headers or {})}
         )
         response = http_connection.getresponse()
+        timed_connection.check_head()
         body = read_body(response, limits.body_bytes)
         if response.getheader("Content-Encoding") == "gzip":
             body = inflate_body(body, limits.body_bytes)
--- a/tests/cli/test_remote.py
+++ b/tests/cli/test_remote.py
@@ -1,9 +1,10 @@
 """Tests of what the command line reads from a running instance."""
 
+import socket
 import unittest
 from unittest import mock
 
-from fescueflow.cli.remote import RemoteError, get_audit_records
+from fescueflow.cli.remote import RemoteError, get_audit_records, get_body
 
 
 class AuditRecordsTest(unittest.TestCase):
@@ -24,5 +25,22 @@
                 self.assertEqual(self.read(body), [{"a": 1}, {"a": 2}])
 
 
+class CutResponseTest(unittest.TestCase):
+    """Guards against a cut response that is printed as a whole one."""
+
+    def test_each_byte(self):
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Last: 1\r\n\r\nwhole"
+        for size in range(len(whole) + 1):
+            here, there = socket.socketpair()
+            with there, mock.patch("socket.create_connection", return_value=here):
+                there.sendall(whole[:size])
+                there.shutdown(socket.SHUT_WR)
+                if size == len(whole):
+                    self.assertEqual(get_body("127.0.0.1:1", "/")[0], b"whole")
+                    continue
+                with self.subTest(size=size), self.assertRaises(RemoteError):
+                    get_body("127.0.0.1:1", "/")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -4,6 +4,7 @@
 import threading
 import unittest
 
+from fescueflow.core import PlatformUnavailable
 from fescueflow.platform.http import Limits, connect_directly, read_url
 
 BODY = b"x" * 50_000
@@ -37,6 +38,26 @@
             thread.join()
         self.assertEqual(answer.body, BODY)
 
+    def test_each_byte_of_a_cut_head(self):
+        """A cut head without its length must not look like an empty response."""
+        heads = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Type: text/plain\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\nX-Last: 1\r\n\r\n",
+        )
+        for head in heads:
+            for size in range(len(head)):
+                with self.subTest(head=head[:size]):
+                    here, there = socket.socketpair()
+                    with here, there:
+                        there.sendall(head[:size])
+                        there.shutdown(socket.SHUT_WR)
+                        with self.assertRaises(PlatformUnavailable):
+                            read_url(
+                                "http://127.0.0.1/1",
+                                Limits(),
+                                lambda *_, here=here: here,
+                            )
+
 
 if __name__ == "__main__":
     unittest.main()
