Replace unusual names of prompt parts by digests in what instances keep and report

A caller who names a part of its prompt with more than 256 characters, or with one that is not printable, makes other instances refuse each report of the instance that it called, for as long as the name is in it: its loads, holders and members, too.

Cause: names from callers went into reports as they came, and a name that can't be used makes a receiver refuse the whole report. Their length was also what bounded the memory of a crash.

Change: parse_prompt keeps names of up to 64 printable characters and replaces others by a digest. The header goes to upstreams as the caller sent it.

Evidence: OddPromptTest failed before for names of 300 and 16,000 characters and for one with a soft hyphen (ValueError in the receiver), and passes.

--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+import xxhash
+
 from fescueflow.core import UpstreamId, ZoneId, choose_candidate, rank_candidates
 from fescueflow.routing.model import PartId, Upstream
 
@@ -49,6 +51,8 @@
 # upstream over the bound on a day with replaced upstreams.
 IMBALANCE_FACTOR_FRACTION = 0.75
 IMBALANCE_SLACK_REQUESTS = 2.5
+# Longest name of a prompt part that is kept as it is, several times that of a digest.
+PART_NAME_CHARS_MAX = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +120,21 @@
     wait_ms: float = 0.0
 
 
+def make_part_id(name: str) -> PartId:
+    """Return the id of a prompt part; a digest replaces an unusual name.
+
+    Notes
+    -----
+    Callers choose the names. Instances refuse reports with names that are long or not
+    printable, and what is kept of a crash has a limited size.
+    """
+    name = name.strip()
+    if len(name) <= PART_NAME_CHARS_MAX and name.isprintable():
+        return PartId(name)
+    digest = xxhash.xxh3_128_hexdigest(name.encode(errors="surrogatepass"))
+    return PartId(f"digest-{digest}")
+
+
 def parse_prompt(parts: str, token_counts: str) -> Prompt:
     """Parse the request headers that describe the prompt.
 
@@ -137,7 +156,7 @@
     entries = [entry.rpartition(":") for entry in parts.split(",") if entry]
     sizes = [int(size) for _, _, size in entries]
     shared = sum(sizes[:-1])
-    shared_parts = tuple(PartId(name.strip()) for name, _, _ in entries[:-1])
+    shared_parts = tuple(make_part_id(name) for name, _, _ in entries[:-1])
     key = shared_parts[-1] if shared_parts else ""
     return Prompt(key, shared, max(0, total - shared), output, shared_parts)
 
--- a/tests/gateway/test_odd_reports.py
+++ b/tests/gateway/test_odd_reports.py
@@ -11,7 +11,7 @@
     decompress_report,
     encode_report,
 )
-from fescueflow.routing import HolderUpdate, Prompt
+from fescueflow.routing import HolderUpdate, Prompt, Verdict, parse_prompt
 from tests.fakes import FakeClock
 from tests.gateway.builders import make_peer
 from tests.gateway.fleet import Instance
@@ -76,5 +76,27 @@
         instance.selector.select(ENGINES, Prompt(), set(), 5.0).active_request.end()
 
 
+class OddPromptTest(unittest.TestCase):
+    """Guards against reports that others refuse for what a caller's prompt names."""
+
+    def test_names_of_parts(self):
+        clock = FakeClock()
+        upstreams = [make_upstream(f"u{n}", started_at_ms=1) for n in range(2)]
+        for name in ("x" * 300, "x" * 16_000, "\x85part", "part\xa0", "part\xad"):
+            with self.subTest(name=name[:20]):
+                names = ["edge-0", "edge-1"]
+                sender, receiver = (
+                    Instance(n, names, upstreams, clock, 1) for n in range(2)
+                )
+                prompt = parse_prompt(f"first:9,{name}:700,own:9", "900,40")
+                sender.selector.select(ENGINES, prompt, set(), 5.0)
+                parts = prompt.shared_parts
+                sender.quarantine.record_crash(upstreams[0], parts, clock.monotonic())
+                _, data = sender.report(is_named=False)
+                receiver.reporter.handle_report(data)
+                verdict = receiver.quarantine.check(ENGINES, prompt)
+                self.assertIs(verdict, Verdict.ISOLATE)
+
+
 if __name__ == "__main__":
     unittest.main()
