--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -123,13 +123,31 @@
         """Yield the body as it arrives."""
         return self.exchange.iterate_parts(deadline, read_timeout_s)
 
+    def check_end(self) -> None:
+        """Check that a body whose end nothing marks was not cut by a crash.
+
+        Raises
+        ------
+        ConnectionLost
+            If the upstream takes no new connection, though it was not leaving: its
+            process may have been killed between two writes, which ends a connection
+            like the end of the body.
+        """
+        upstream = self.selection.upstream
+        if self.exchange.has_marked_end or not self._client.is_ready(upstream):
+            return
+        if self._client.is_down(upstream):
+            raise ConnectionLost("the upstream crashed at an unmarked end")
+
     def mark_progress(self) -> None:
         """Note that a stream has made progress."""
         self.exchange.mark_progress()
 
     def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
         """Return the whole body; its bytes are counted by the buffer."""
-        return self.exchange.read_body(deadline, buffer)
+        body = self.exchange.read_body(deadline, buffer)
+        self.check_end()
+        return body
 
     def record_events(self, count: int, now: float) -> None:
         """Record that complete events of a stream have arrived."""
@@ -352,7 +370,7 @@
             is_open = self._pool.has_open(upstream.address)
             if is_open:
                 self._quarantine.record_alive(upstream)
-            elif is_open is False and self._is_down(upstream):
+            elif is_open is False and self.is_down(upstream):
                 self._quarantine.record_refusal(upstream)
 
     def record_progress(self, attempt: Attempt) -> None:
@@ -382,7 +400,7 @@
         one that is cut off does not refuse them.
         """
         upstream = attempt.selection.upstream
-        if not self._is_down(upstream):
+        if not self.is_down(upstream):
             return
         parts: tuple[PartId, ...] = ()
         if not attempt.has_begun:
@@ -391,7 +409,11 @@
         if attempt.has_survived:
             self.record_progress(attempt)
 
-    def _is_down(self, upstream: Upstream) -> bool:
+    def is_ready(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is listed and not leaving."""
+        return self._selector.is_ready(upstream)
+
+    def is_down(self, upstream: Upstream) -> bool:
         """Return whether an upstream has crashed or refuses connections."""
         if self._quarantine.has_crashed(upstream):
             return True
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -296,6 +296,7 @@
                 rest = splitter.take_remainder()
                 if rest.strip() and not attempt.exchange.has_marked_end:
                     raise ConnectionLost("the stream ended inside an event")
+                attempt.check_end()
                 attempt.finish()
                 if rest:
                     yield rest
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -173,6 +173,15 @@
             now = self._clock.monotonic()
             self._health.pause(upstream, now + seconds, now)
 
+    def is_ready(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is listed and not leaving."""
+        now = self._clock.monotonic()
+        ready = self._platform_state.list_upstreams(upstream.service, now)
+        return any(
+            (u.id, u.started_at_ms) == (upstream.id, upstream.started_at_ms)
+            for u in ready
+        )
+
     def mark_departing(self, upstream: Upstream) -> bool:
         """Stop using an upstream that is leaving; return whether this is new."""
         return self._platform_state.mark_departing(upstream, self._clock.monotonic())
--- a/tests/gateway/fake_servers.py
+++ b/tests/gateway/fake_servers.py
@@ -1,6 +1,7 @@
 """Fake servers for the platform's store and for upstreams."""
 
 import base64
+import contextlib
 import json
 import socket
 import threading
@@ -115,6 +116,11 @@
         }
         return {**entry, **changes}
 
+    def stop_listening(self):
+        """Refuse new connections."""
+        with contextlib.suppress(OSError):
+            self._server.socket.shutdown(socket.SHUT_RDWR)
+
     def close(self):
         """Stop the server."""
         self._server.shutdown()
--- a/tests/gateway/test_unmarked_ends.py
+++ b/tests/gateway/test_unmarked_ends.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 
 from tests.gateway.fake_servers import make_event
 from tests.gateway.gateway_case import GatewayTestCase
@@ -69,6 +70,46 @@
     def test_reset_after_an_event(self):
         self.check_resumed(self.cut(make_event(1), resets=True))
 
+    def test_killed_upstream_between_two_events(self):
+        """Its connections end without a reset, like a whole answer."""
+        for first in (0, 1):
+            upstream = self.upstreams[first]
+            killed = [upstream]
+
+            def script(handler, upstream=upstream, killed=killed):
+                if killed:
+                    killed.pop()
+                    # The listening socket refuses connections before this one ends.
+                    upstream.stop_listening()
+                    send_unmarked(handler, make_event(1))
+                else:
+                    send_rest(handler)
+
+            self.set_script(
+                *[script if u is upstream else send_rest for u in self.upstreams]
+            )
+            bodies = {self.call("/stream/1")[2] for _ in range(6)}
+            self.assertEqual((bodies, killed), ({EVENTS}, []))
+            self.upstreams[first] = self.start_upstream(f"u{first + 3}")
+            time.sleep(0.2)
+
+    def test_leaving_upstream_that_ends_after_its_last_answer(self):
+        """It refuses connections at once, but its answer is whole."""
+
+        def leave(handler):
+            for upstream in self.upstreams:
+                if upstream.name == handler.upstream_name:
+                    upstream.stop_listening()
+            handler.make_seal = lambda seal=handler.make_seal: [
+                *seal(),
+                ("Server-Leaving", "1"),
+            ]
+            send_unmarked(handler, b"whole")
+
+        self.set_script(leave, leave)
+        status, _, body = self.call("/once/1")
+        self.assertEqual((status, body), (200, b"whole"))
+
     def test_answer_that_is_no_stream(self):
         self.set_script(*[self.cut(b"whole")] * 2)
         self.assertEqual(self.call("/once/1")[2], b"whole")
