Wait for all reports of a crash before a part beside a faulty one is quarantined

What callers saw: in a simulated fleet whose twelve upstreams all end within 1.7 s, one sound request is rejected 2 ms after a crash.

Cause: as with popular parts. A rare sound part was cut beside the faulty one twice, and the first report on the next crash named only the sound one, which then waited at three crashes in a row.

Change: while another part waited at the same settled crashes and at more in all, the latest crash counts once all reports on it have arrived (0.1 s).

--- a/src/fescueflow/routing/quarantine.py
+++ b/src/fescueflow/routing/quarantine.py
@@ -123,13 +123,27 @@
 
         Notes
         -----
-        A popular part is in the first reports on each crash. Until the others arrive,
-        it may be the only one that all crashes have in common.
+        Until all reports on a crash have arrived, a sound part may be the only one
+        that all crashes have in common: a popular one, or one that was cut together
+        with a faulty part before.
         """
         crashes = self.by_part[part]
-        if part not in self.progressed:
-            return crashes
-        return [crash for crash in crashes if crash.at <= self.settled_until]
+        settled = [crash for crash in crashes if crash.at <= self.settled_until]
+        if part in self.progressed or self._is_overshadowed(part, settled):
+            return settled
+        return crashes
+
+    def _is_overshadowed(self, part: PartId, settled: Sequence[Crash]) -> bool:
+        """Return whether another part waited at these crashes and at more in all."""
+        if not settled:
+            return False
+        ids = {crash.id for crash in settled}
+        return any(
+            len(self.by_part[other]) > len(self.by_part[part])
+            and ids <= self.get_ids(other)
+            for other in settled[-1].waits_s
+            if other in self.by_part
+        )
 
 
 def collect_evidence(
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -60,6 +60,14 @@
         progress = {"first": 90.5}
         self.assertNotIn({"first"}, find_parts(crashes, progress, now=NOW))
 
+    def test_rare_part_until_all_reports_have_arrived(self):
+        """It was cut beside the faulty part twice, and is named first once more."""
+        crashes = [make_update(n, 9.0 - n, "faulty") for n in range(2)]
+        crashes += [make_update(n, 9.0 - n, "faulty rare") for n in (2, 3)]
+        crashes += [make_update(8, 8.5, ""), make_update(9, 8.4, "")]
+        crashes.append(make_update(4, 0.05, "rare"))
+        self.assertNotIn({"rare"}, find_parts(crashes, now=NOW))
+
     def test_progress_long_before(self):
         """A part that was answered once takes the most crashes."""
         before = {"first": 99.0, "fatal": 90.0}
