--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -41,6 +41,10 @@
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
+# Time for which a new connection to an upstream has to last where the end of another
+# may be that of a killed process: the system closes its listening socket some
+# milliseconds later, and resets what was not accepted.
+CRASH_CONFIRM_S = 0.05
 # Least time between two looks at the connections of upstreams that have just answered:
 # that between reports on a crash.
 SURVIVOR_CHECK_INTERVAL_S = HURRIED_INTERVAL_S
@@ -136,7 +140,7 @@
         upstream = self.selection.upstream
         if self.exchange.has_marked_end or not self._client.is_ready(upstream):
             return
-        if self._client.is_down(upstream):
+        if self._client.is_down(upstream, CRASH_CONFIRM_S):
             raise ConnectionLost("the upstream crashed at an unmarked end")
 
     def mark_progress(self) -> None:
@@ -413,19 +417,29 @@
         """Return whether an upstream is listed and not leaving."""
         return self._selector.is_ready(upstream)
 
-    def is_down(self, upstream: Upstream) -> bool:
-        """Return whether an upstream has crashed or refuses connections."""
+    def is_down(self, upstream: Upstream, wait_s: float = 0.0) -> bool:
+        """Return whether an upstream has crashed or refuses connections.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        wait_s : float, optional
+            How long a new connection has to last.
+        """
         if self._quarantine.has_crashed(upstream):
             return True
         try:
             connection = self._pool.open(upstream.address, CRASH_CHECK_TIMEOUT_S)
-        except ConnectionRefusedError:
+        except (ConnectionRefusedError, ConnectionResetError):
             self._record_unhealthy(upstream.id, is_down=True)
             return True
         except OSError as error:
             log.debug("connection to {} not opened: {!r}", upstream.id, error)
             return False
         self._metrics.count("upstream_connections")
+        if wait_s and not connection.is_reusable(wait_s):
+            connection.close()
+            return self.is_down(upstream)
         self._pool.release(connection, None)
         return False
 
--- a/src/fescueflow/gateway/connections.py
+++ b/src/fescueflow/gateway/connections.py
@@ -33,11 +33,11 @@
     idle_since: float = 0.0
     idle_max_s: float = IDLE_TIMEOUT_S
 
-    def is_reusable(self) -> bool:
-        """Return whether the idle connection has received no data and no FIN."""
+    def is_reusable(self, wait_s: float = 0.0) -> bool:
+        """Return whether the idle connection gets no data and no FIN while waiting."""
         poll = select.poll()
         poll.register(self.socket, select.POLLIN)
-        return not poll.poll(0)
+        return not poll.poll(wait_s * 1000)
 
     def close(self) -> None:
         """Close the connection."""
