--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import random
 import socket
 import threading
 import time
@@ -41,6 +42,8 @@
         the answer is complete.
     survives_s : float
         Time from that write until the end.
+    cut_share : float
+        Share of the sound answers that are cut at any byte of their head.
     """
 
     def __init__(self, name, store, fatal_parts, down_s=1.5, first_event_s=0.02):
@@ -48,6 +51,7 @@
         self.fatal_parts = fatal_parts
         self.first_event_s = first_event_s
         self.first_write, self.survives_s = 0, 0.0
+        self.cut_share, self._random = 0.0, random.Random(name)
         # Time, prompt parts and id of each request, over all starts.
         self.arrivals = []
         self.ended_at = []
@@ -147,6 +151,9 @@
     def answer(self, handler, parts):
         """Send a stream of three events, or end."""
         is_fatal = bool(self.fatal_parts & set(parts))
+        if not is_fatal and self._random.random() < self.cut_share:
+            self._cut_head(handler)
+            return
         if is_fatal and self.first_write == EVENTS and not is_stream(handler.path):
             time.sleep(self.first_event_s)
             handler.send_sealed()
@@ -170,6 +177,12 @@
         with contextlib.suppress(OSError):
             handler.end_stream()
 
+    def _cut_head(self, handler):
+        lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in handler.make_seal())]
+        head = "\r\n".join([*lines, "Content-Length: 10", "", ""]).encode()
+        handler.wfile.write(head[: self._random.randrange(len(head))])
+        handler.close_connection = True
+
     def _end_under(self):
         """End under the answer that has just been written."""
         if self.survives_s:
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -1,10 +1,11 @@
 """Randomised run of live instances before upstreams that end under some requests.
 
 ``python -m tests.gateway.soak --seeds 50`` plays 50 runs and prints a line for each.
-Share, number, moment and route of the faulty parts are drawn, and so are the events
-that an upstream writes before it ends under them, upstreams that end by themselves,
-instances that stop and start again, and new configurations, which come in series and
-overlap. Callers keep their connections until these are closed.
+Share, number, moment, route and place of the faulty parts are drawn, and so are the
+length of the prompts, the events that an upstream writes before it ends under them,
+answers that are cut in their head, upstreams that end by themselves, instances that
+stop and start again, and new configurations, which come in series and overlap. Callers
+keep their connections until these are closed.
 """
 
 import argparse
@@ -20,6 +21,7 @@
 from tests.gateway.fake_servers import FakeStore, make_event
 from tests.gateway.gateway_case import make_table
 from tests.gateway.mortal_upstreams import EVENTS, LiveFleet, MortalUpstream
+from tests.routing.builders import make_parts
 
 INSTANCES = 3
 UPSTREAMS = 6
@@ -65,8 +67,12 @@
         ]
         first_write = self.random.randint(0, EVENTS)
         survives_s = self.random.choice((0.0, 0.005, 0.1))
+        cut_share = self.random.choice((0.0, 0.0, 0.02))
+        # Further parts of each subject's prompts.
+        self.part_count = self.random.choice((0, 20, 120))
         for upstream in self.upstreams:
             upstream.first_write, upstream.survives_s = first_write, survives_s
+            upstream.cut_share = cut_share
         self.fleet = LiveFleet(self.store, INSTANCES)
         self.share = self.random.choice((0.02, 0.05, 0.15))
         self.parts = ["fatal", "worse"][: self.random.randint(1, 2)]
@@ -114,9 +120,11 @@
         while not self.is_over.is_set():
             count += 1
             route = drawn.choice(ROUTES)
-            parts = ["first", f"subject{drawn.randrange(12)}"]
+            subject = f"subject{drawn.randrange(12)}"
+            parts = ["first", subject, *make_parts(subject, self.part_count)]
             if route in self.routes and drawn.random() < self.share:
-                parts[1:] = [drawn.choice(self.parts)]
+                place = drawn.randint(1, len(parts))
+                parts.insert(place, drawn.choice(self.parts))
             attempt_id = f"a{number}-{count}"
             if connection is None:
                 connection = self.fleet.connect(drawn.randrange(INSTANCES))
