Keep the time of a progress when instances relay it

Reports carry ages, and what a report waits for on the way and at a busy instance is lost. The latest time won, so that the same progress came back later each time, cleared the crashes since, and was passed on again as news.

Change: a progress that others report replaces a known one only if it is more than 0.5 s later, the delay of a report at a busy instance.

Evidence: test_progress_before_the_crashes (a progress goes to and fro while upstreams crash) failed before (ISOLATE instead of REJECT) and passes.

--- a/src/fescueflow/gateway/crash_records.py
+++ b/src/fescueflow/gateway/crash_records.py
@@ -13,6 +13,7 @@
 from fescueflow.gateway.report_turns import ReportTurns
 from fescueflow.metrics import Metrics
 from fescueflow.routing import (
+    RELAY_DELAY_MAX_S,
     SETTLED_AGE_S,
     BegunAnswer,
     Crash,
@@ -140,7 +141,7 @@
             proven = self._answers.take_proven(name, now)
         for answer in proven:
             if answer.is_seen:
-                self.record_progress(upstream.service, answer.parts)
+                self.record_progress(upstream.service, answer.parts, answer.survived_at)
 
     def list_unproven(self) -> list[Upstream]:
         """Return the upstreams that have begun to answer, not seen alive since."""
@@ -200,15 +201,26 @@
                 count += len(answer.parts)
         return count
 
-    def record_progress(self, service: ServiceId, parts: Iterable[PartId]) -> None:
-        """Record that an answer with these shared parts has made progress."""
+    def record_progress(
+        self, service: ServiceId, parts: Iterable[PartId], at: float | None = None
+    ) -> None:
+        """Record that an answer with these shared parts has made progress.
+
+        Parameters
+        ----------
+        service : ServiceId
+        parts : iterable of PartId
+        at : float, optional
+            When its upstream had survived the beginning; now by default.
+        """
         suspects = self._suspects.get(service)
         if not suspects or suspects.isdisjoint(parts):
             return
         with self._lock:
             now = self._clock.monotonic()
             found = self._suspects.get(service, frozenset()).intersection(parts)
-            changed = self._store_progress(service, dict.fromkeys(found, now), now)
+            times = dict.fromkeys(found, now if at is None else at)
+            changed = self._store_progress(service, times, now)
         if changed:
             self._on_change()
 
@@ -238,7 +250,7 @@
             for entry in report.progress:
                 progress.setdefault(entry.service, {})[entry.part] = now - entry.age_s
             is_changed = [
-                self._store_progress(service, times, now)
+                self._store_progress(service, times, now, RELAY_DELAY_MAX_S)
                 for service, times in progress.items()
             ]
             changed: set[ServiceId] = set()
@@ -315,10 +327,16 @@
             name = make_crash_id(answer.upstream)
             is_alive = name in listed and self._crashes.find(name) is None
             if is_alive and answer.is_seen:
-                self.record_progress(answer.upstream.service, answer.parts)
+                self.record_progress(
+                    answer.upstream.service, answer.parts, answer.survived_at
+                )
 
     def _store_progress(
-        self, service: ServiceId, progress: Mapping[PartId, float], now: float
+        self,
+        service: ServiceId,
+        progress: Mapping[PartId, float],
+        now: float,
+        tolerance_s: float = 0.0,
     ) -> bool:
         """Store when parts made progress; return whether one is not suspected any more.
 
@@ -328,10 +346,10 @@
         a popular part to all others.
         """
         suspects = self._suspects.get(service, frozenset())
-        self._progress.store(service, progress)
+        known = self._progress.store(service, progress, tolerance_s)
         if suspects.isdisjoint(progress):
             return False
-        self._crashes.clear(service, progress)
+        self._crashes.clear(service, known)
         self._update(service, now)
         cleared = suspects - self._suspects.get(service, frozenset())
         self._progress.mark_changed(service, cleared.intersection(progress), now)
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -51,7 +51,7 @@
     parse_prompt,
     rank_placements,
 )
-from fescueflow.routing.progress import PartKey, ProgressTable
+from fescueflow.routing.progress import RELAY_DELAY_MAX_S, PartKey, ProgressTable
 from fescueflow.routing.quarantine import (
     SETTLED_AGE_S,
     Culprit,
@@ -77,6 +77,7 @@
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
+    "RELAY_DELAY_MAX_S",
     "SETTLED_AGE_S",
     "SURVIVAL_S",
     "AdmissionDecision",
--- a/src/fescueflow/routing/progress.py
+++ b/src/fescueflow/routing/progress.py
@@ -13,6 +13,9 @@
 
 # Parts whose progress is remembered: as many as can be suspected.
 PROGRESS_MAX = PARTS_MAX
+# Delay of a report until it is handled by a busy instance, in seconds. Each relay makes
+# a progress seem later by as much.
+RELAY_DELAY_MAX_S = 0.5
 
 PartKey = tuple[ServiceId, PartId]
 
@@ -42,15 +45,39 @@
     def __contains__(self, key: object) -> bool:
         return key in self._times
 
-    def store(self, service: ServiceId, progress: Mapping[PartId, float]) -> None:
-        """Store when parts made progress; the parts used last are kept."""
+    def store(
+        self,
+        service: ServiceId,
+        progress: Mapping[PartId, float],
+        tolerance_s: float = 0.0,
+    ) -> dict[PartId, float]:
+        """Store when parts made progress; the parts used last are kept.
+
+        Parameters
+        ----------
+        service : ServiceId
+        progress : mapping of PartId to float
+        tolerance_s : float, optional
+            Time by which a progress that others report may be one that is known.
+            Otherwise, it would move with each relay and clear later crashes.
+
+        Returns
+        -------
+        dict of PartId to float
+            The times that are now known.
+        """
+        known = {}
         for part, at in progress.items():
             key = service, part
-            self._times[key] = max(at, self._times.get(key, at))
+            before = self._times.get(key)
+            if before is None or at > before + tolerance_s:
+                self._times[key] = at
+            known[part] = self._times[key]
             self._times.move_to_end(key)
         while len(self._times) > PROGRESS_MAX:
             oldest, _ = self._times.popitem(last=False)
             self._changed_at.pop(oldest, None)
+        return known
 
     def mark_changed(
         self, service: ServiceId, parts: Iterable[PartId], now: float
@@ -83,4 +110,4 @@
         }
 
 
-__all__ = ["PartKey", "ProgressTable"]
+__all__ = ["RELAY_DELAY_MAX_S", "PartKey", "ProgressTable"]
--- a/src/fescueflow/routing/survival.py
+++ b/src/fescueflow/routing/survival.py
@@ -38,6 +38,11 @@
     begun_at: float
     is_seen: bool = True
 
+    @property
+    def survived_at(self) -> float:
+        """When the upstream has survived the beginning, if it is alive later."""
+        return self.begun_at + SURVIVAL_S
+
 
 class UnprovenAnswers:
     """Answers whose upstreams may still crash under them; not thread-safe."""
--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -156,7 +156,8 @@
             return
         if is_fatal and self.first_write == EVENTS and not is_stream(handler.path):
             time.sleep(self.first_event_s)
-            handler.send_sealed()
+            events = [make_event(number) for number in range(1, EVENTS + 1)]
+            handler.send_sealed(body=b"".join(events))
             self._end_under()
             return
         handler.start_stream()
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -195,6 +195,33 @@
         self.assertEqual(self.check_all(FATAL), [Verdict.REJECT] * 4)
 
 
+class RelayedProgressTest(QuarantineTestCase):
+    """Guards against progress that seems later with each relay."""
+
+    def test_progress_before_the_crashes(self):
+        """It goes to and fro between busy instances while upstreams crash."""
+        first, second = self.instances[:2]
+        for instance in (first, second):
+            instance.record_crash(self.upstreams[5], FATAL.shared_parts, 0.0)
+        self.clock.advance(0.1)
+        first.record_progress(ENGINES, FATAL.shared_parts)
+        for number in range(5):
+            for _ in range(4):
+                for sender, receiver in ((first, second), (second, first)):
+                    report = sender.make_report(False)
+                    self.clock.advance(0.05)
+                    receiver.merge(report, SENDER)
+            self.clock.advance(0.1)
+            sent_at = self.clock.monotonic() - 0.05
+            for instance in (first, second):
+                parts = FATAL.shared_parts
+                instance.record_crash(self.upstreams[number], parts, sent_at)
+        self.clock.advance(0.2)
+        for instance in (first, second):
+            instance.make_report(False)
+            self.assertIs(instance.check(ENGINES, FATAL), Verdict.REJECT)
+
+
 class ManyPartsTest(QuarantineTestCase):
     """Guards against lists that are cut in the same place crash after crash.
 
