Ask one upstream at a time whether it has survived, and only once

Cause: found by reading. Before each request and each report, an instance looks at the idle connections of upstreams that have just answered. Where one had ended, it connected to the upstream, which takes up to 0.1 s before one that is silent, one after the other for all such upstreams, and again every 20 ms for as long as their answers were kept, 5 s. Requests and reports waited for that.

Change: one upstream at a look; one that is leaving, not listed or does not take the connection in time is not asked again.

Evidence: test_one_attempt_to_connect_for_each_upstream failed before (6 connections in the first look where 1 is expected) and passes.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -374,8 +374,14 @@
             is_open = self._pool.has_open(upstream.address)
             if is_open:
                 self._quarantine.record_alive(upstream)
-            elif is_open is False and self.is_down(upstream):
-                self._quarantine.record_refusal(upstream)
+            elif is_open is False:
+                # Connecting may take until its time limit, during which requests wait:
+                # once for each upstream, one upstream at a time.
+                if self.is_ready(upstream) and self.is_down(upstream):
+                    self._quarantine.record_refusal(upstream)
+                elif not self._pool.has_open(upstream.address):
+                    self._quarantine.forget_answers(upstream)
+                return
 
     def record_progress(self, attempt: Attempt) -> None:
         """Record that the upstream has survived the beginning of the answer."""
--- a/src/fescueflow/gateway/crash_records.py
+++ b/src/fescueflow/gateway/crash_records.py
@@ -148,6 +148,11 @@
         with self._lock:
             return self._answers.list_upstreams()
 
+    def forget_answers(self, upstream: Upstream) -> None:
+        """Drop answers of which nothing tells whether the upstream survived them."""
+        with self._lock:
+            self._answers.take_all(make_crash_id(upstream), self._clock.monotonic())
+
     def record_refusal(self, upstream: Upstream) -> None:
         """Record a refused connection: an upstream that had just answered is down."""
         if self._answers.has_answers(make_crash_id(upstream)):
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -2,8 +2,10 @@
 
 import itertools
 import unittest
+from unittest import mock
 
 from fescueflow.core import InstanceId
+from fescueflow.gateway.attempts import AttemptClient
 from fescueflow.gateway.peers import DATAGRAM_BYTES_MAX, PeerTable
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine import PromptQuarantine
@@ -195,6 +197,33 @@
         self.assertEqual(self.check_all(FATAL), [Verdict.REJECT] * 4)
 
 
+class SilentUpstreamTest(QuarantineTestCase):
+    """Guards against requests that wait while dark upstreams are asked."""
+
+    def test_one_attempt_to_connect_for_each_upstream(self):
+        quarantine, opened = self.instances[0], []
+
+        def open_none(address, timeout_s):
+            opened.append(address)
+            raise TimeoutError
+
+        pool = mock.Mock(has_open=lambda address: False, open=open_none)
+        client = AttemptClient(
+            pool=pool,
+            selector=mock.Mock(),
+            loads=None,
+            clock=self.clock,
+            metrics=Metrics(),
+            quarantine=quarantine,
+        )
+        for upstream in self.upstreams:
+            quarantine.record_begun(upstream, ("first",), self.clock.monotonic())
+        for number in range(1, 20):
+            self.clock.advance(0.1)
+            client.check_survivors()
+            self.assertEqual(len(opened), min(number, len(self.upstreams)))
+
+
 class RelayedProgressTest(QuarantineTestCase):
     """Guards against progress that seems later with each relay."""
 
