--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
+    log_refusal,
     log_selection,
     log_stream_end,
 )
@@ -45,7 +46,9 @@
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     AttemptFailure,
+    NoRoute,
     RouteKind,
+    UnknownKey,
     choose_service,
     find_customer,
     find_route,
@@ -142,8 +145,13 @@
             raise NotReady(
                 "no configuration is known yet", retry_after_ms=RETRY_AFTER_MS
             )
-        route = find_route(table, request.host, request.target.partition("?")[0])
-        customer = find_customer(table, route, request.headers.api_key)
+        try:
+            route = find_route(table, request.host, request.target.partition("?")[0])
+            customer = find_customer(table, route, request.headers.api_key)
+        except (NoRoute, UnknownKey) as error:
+            age_s = self._platform_state.get_age(self._clock.monotonic())
+            log_refusal(request, error, table, age_s)
+            raise
         if len(request.body) > table.limits.body_bytes:
             raise BodyTooLarge(f"the body exceeds {table.limits.body_bytes} bytes")
         limit_s = route.timeout_s
--- a/src/fescueflow/gateway/request_logs.py
+++ b/src/fescueflow/gateway/request_logs.py
@@ -2,15 +2,16 @@
 
 import logbook
 
-from fescueflow.core import Clock
+from fescueflow.core import Clock, RequestError
 from fescueflow.gateway.exchange import ExchangeFailed
-from fescueflow.gateway.requests import RequestContext
+from fescueflow.gateway.requests import CallerRequest, RequestContext
 from fescueflow.gateway.selection import Selection
 from fescueflow.gateway.streams import RelayTimes
 from fescueflow.routing import RoutingTable, Upstream
 
 # Prompt parts in one line; callers may name any number.
 LOGGED_PARTS_MAX = 8
+LOGGED_PATH_CHARS_MAX = 200
 
 log = logbook.Logger("forwarding")
 
@@ -50,6 +51,23 @@
     )
 
 
+def log_refusal(
+    request: CallerRequest, error: RequestError, table: RoutingTable, state_age_s: float
+) -> None:
+    """Log a request that the configuration does not allow, and its version and age."""
+    log.warning(
+        "refused",
+        extra={
+            "id": request.headers.attempt_id,
+            "type": error.type,
+            "host": request.host,
+            "path": request.target.partition("?")[0][:LOGGED_PATH_CHARS_MAX],
+            "table": table.version,
+            "belief_age_ms": round(state_age_s * 1000),
+        },
+    )
+
+
 def log_failure(context: RequestContext, failure: ExchangeFailed, clock: Clock) -> None:
     """Log a failed attempt with the prompt parts of its request.
 
@@ -123,6 +141,7 @@
     "list_parts",
     "log_broken_stream",
     "log_failure",
+    "log_refusal",
     "log_selection",
     "log_stream_end",
 ]
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -45,7 +45,8 @@
 
     ``source`` is the upstream from which the selected one copies the shared prefix of
     the prompt, ``bound`` the load bound of the service, and ``report_age_s`` the mean
-    age of the loads that other instances had reported.
+    age of the loads that other instances had reported. ``is_isolated`` is whether the
+    request was sent apart because upstreams may crash under it.
     """
 
     placement: Placement
@@ -53,6 +54,7 @@
     bound: BalanceBound
     source: Upstream | None = None
     report_age_s: float | None = None
+    is_isolated: bool = False
 
     @property
     def upstream(self) -> Upstream:
@@ -75,6 +77,7 @@
             "report_age_ms": (
                 None if self.report_age_s is None else round(self.report_age_s * 1000)
             ),
+            "isolated": self.is_isolated,
             "waiting_tokens": round(load.waiting_tokens),
             "failure_rate": round(load.failure_rate, 2),
             "cached": self.placement.is_cached,
@@ -265,7 +268,8 @@
                 candidates, self._boot.imbalance_factor, upstream_count
             )
             age_s = self._loads.get_report_age(now)
-            return Selection(chosen, active_request, bound, source, age_s)
+            is_isolated = isolation_key is not None
+            return Selection(chosen, active_request, bound, source, age_s, is_isolated)
 
     def _count_healthy_upstreams(
         self, service: ServiceId, listed: list[Upstream], now: float
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -1,7 +1,7 @@
 """Watch of the platform's store that keeps the local state current."""
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import logbook
 
@@ -23,6 +23,7 @@
 )
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
+    OPERATOR_PREFIX,
     HistoryExpired,
     StoreClient,
     StoreItem,
@@ -150,6 +151,10 @@
                         update.revision - revision > HISTORY_CHANGES_MAX
                     )
                     self._is_behind.set()
+                    log.info(
+                        "changes are missing",
+                        extra={"revision": revision, "announced": update.revision},
+                    )
                     return
             current_at = self._clock.monotonic() - update.age_s
             gained_s = current_at - self._responded_at
@@ -163,6 +168,7 @@
                 if update.omitted:
                     self._outdated_keys.update(update.omitted)
                     self._is_behind.set()
+                log_changes("update", update.revision, update.items, update.omitted)
             if not self._outdated_keys:
                 self._platform_state.mark_current(self._responded_at)
         has_advanced = update.revision > revision
@@ -271,6 +277,9 @@
             self._record_response(self._clock.monotonic())
             self._record_success()
             self._accept_result(result, revision)
+        log_changes(
+            "read" if revision is None else "watch", result.revision, result.items
+        )
         self._platform_state.mark_current(self._responded_at)
         if self._relay is not None:
             self._publish(result, revision, is_fetch)
@@ -288,6 +297,7 @@
                     for item in result.items:
                         if item.key == key:
                             self._apply(item)
+                log_changes("fetch", result.revision, result.items)
                 keys.remove(key)
                 self._record_success()
         except PlatformUnavailable:
@@ -373,11 +383,55 @@
             RETRY_DELAY_MAX_S, max(RETRY_DELAY_MIN_S, self._retry_delay_s * 2)
         )
         if self._relay is not None and self._is_follower():
-            self._wait_as_follower(self._relay.draw_retry_delay())
+            delay_s = self._relay.draw_retry_delay()
+            self._log_pause(error, delay_s)
+            self._wait_as_follower(delay_s)
             return
         jitter = self._random_source.uniform(0.5, 1.5)
+        self._log_pause(error, self._retry_delay_s * jitter)
         self._clock.wait(self._stopped, self._retry_delay_s * jitter)
 
+    def _log_pause(self, error: PlatformUnavailable, delay_s: float) -> None:
+        """Log a failed call, what this instance misses and when it calls again."""
+        log.info(
+            "call of the store repeated later",
+            extra={
+                "why": str(error),
+                "pause_ms": round(delay_s * 1000),
+                "missing": sorted(self._outdated_keys),
+                "has_gap": self._has_gap,
+                "is_follower": self._is_follower(),
+                "belief_age_ms": round(
+                    (self._clock.monotonic() - self._responded_at) * 1000
+                ),
+            },
+        )
+
+
+def log_changes(
+    source: str,
+    revision: Revision,
+    items: Iterable[StoreItem] | None,
+    omitted: Iterable[str] = (),
+) -> None:
+    """Log how entries of the operator arrived, and keys whose values did not.
+
+    Notes
+    -----
+    Entries of upstreams are renewed each second and are not logged here.
+    """
+    keys = sorted({i.key for i in items or () if i.key.startswith(OPERATOR_PREFIX)})
+    if keys or omitted:
+        log.info(
+            "operator's entries received",
+            extra={
+                "source": source,
+                "revision": revision,
+                "keys": keys,
+                "omitted": sorted(omitted),
+            },
+        )
+
 
 __all__ = [
     "READ_TIMEOUT_S",
