Reproduce a configuration that is late after one lost call (fails)

A fleet whose watches run on simulated time, with calls of the store that take time, so that an answer may be overtaken by updates of other instances.

--- /dev/null
+++ b/tests/gateway/test_late_configuration.py
@@ -0,0 +1,56 @@
+"""Tests of the time in which each instance has the last configuration."""
+
+import unittest
+
+from tests.gateway.store_fleet import StoreFleet
+
+# Time in which a configuration must be in force, of the small deployments.
+APPLY_S = 2.0
+SETTLED_S = 3.0
+
+
+class FleetTest(unittest.TestCase):
+    """Starts fleets that follow a simulated store."""
+
+    def make_fleet(self, seed, zones="abc", per_zone=3):
+        fleet = StoreFleet(zones, per_zone, seed)
+        self.addCleanup(fleet.end)
+        fleet.run(SETTLED_S)
+        return fleet
+
+    def check_in_force(self, fleet, within_s=APPLY_S, size=4000):
+        version = fleet.put_configuration(size)
+        fleet.run(within_s)
+        self.assertEqual(fleet.find_outdated(version), [])
+
+
+class LostCallTest(FleetTest):
+    """Guards against a configuration that is late after one lost call."""
+
+    def test_follower_loses_one_call(self):
+        for seed in range(1, 13):
+            with self.subTest(seed=seed):
+                fleet = self.make_fleet(seed)
+                fleet.random.choice(fleet.list_followers()).client.lose = 1
+                self.check_in_force(fleet)
+
+    def test_follower_in_a_large_zone_loses_one_call(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                fleet = self.make_fleet(seed, "a", 24)
+                fleet.random.choice(fleet.list_followers()).client.lose = 1
+                self.check_in_force(fleet)
+
+    def test_reader_loses_one_call(self):
+        for seed in (1, 2, 3, 4):
+            with self.subTest(seed=seed):
+                fleet = self.make_fleet(seed)
+                for instance in fleet.instances:
+                    if instance not in fleet.list_followers():
+                        instance.client.lose = 1
+                fleet.run(fleet.random.uniform(0.0, 0.5))
+                self.check_in_force(fleet)
+
+
+if __name__ == "__main__":
+    unittest.main()
