Repeat a connection attempt to the store that is not answered soon

Cause: a connection attempt had 0.7 s, while the system repeats a lost one only after a second. One lost packet therefore cost the call.

Change: an attempt that is not answered within 0.2 s is repeated once within the same call. A refused connection is not repeated, and an outage is noticed 0.2 s later.

Evidence: LostAttemptTest failed before (there was one attempt).

--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -20,7 +20,12 @@
     parse_table,
     parse_upstream,
 )
-from fescueflow.platform.http import Connect, Limits, connect_directly
+from fescueflow.platform.http import (
+    Connect,
+    Limits,
+    connect_directly,
+    connect_twice,
+)
 from fescueflow.platform.records import (
     ListedInstance,
     ListedUpstream,
@@ -97,6 +102,7 @@
     "StoreItem",
     "StoreResult",
     "connect_directly",
+    "connect_twice",
     "is_leaving",
     "load_boot",
     "make_directory_body",
--- a/src/fescueflow/platform/http.py
+++ b/src/fescueflow/platform/http.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+import logbook
+
 from fescueflow.core import PlatformUnavailable
 from fescueflow.http1 import TimedConnection
 from fescueflow.platform.records import MalformedResponse
@@ -15,6 +17,12 @@
 READ_CHUNK_BYTES = 1 << 16
 # Selects the gzip format: 16 plus the maximum window size of 15 bits.
 GZIP_WINDOW_BITS = 31
+# Time after which a connection attempt is repeated: many round trips within a region,
+# and well below the second after which the system repeats a lost one (RFC 6298,
+# section 2).
+FIRST_ATTEMPT_S = 0.2
+
+log = logbook.Logger("platform")
 
 # Opens a connection to ``ip:port`` within a timeout in seconds.
 Connect = Callable[[str, float], socket.socket]
@@ -49,6 +57,32 @@
     return socket.create_connection((host.strip("[]"), int(port)), timeout_s)
 
 
+def connect_twice(
+    address: str, timeout_s: float, connect: Connect = connect_directly
+) -> socket.socket:
+    """Open a connection; repeat the attempt once if it is not answered soon.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    timeout_s : float
+        Limit of the second attempt.
+    connect : callable, optional
+        Opens connections.
+
+    Raises
+    ------
+    OSError
+        If the second attempt fails, or if the first one is refused.
+    """
+    try:
+        return connect(address, min(FIRST_ATTEMPT_S, timeout_s))
+    except TimeoutError:
+        log.info("connection attempt repeated", extra={"address": address})
+    return connect(address, timeout_s)
+
+
 def read_url(
     url: str,
     limits: Limits,
@@ -147,4 +181,11 @@
     return body
 
 
-__all__ = ["Connect", "Limits", "PlatformResponse", "connect_directly", "read_url"]
+__all__ = [
+    "Connect",
+    "Limits",
+    "PlatformResponse",
+    "connect_directly",
+    "connect_twice",
+    "read_url",
+]
--- a/src/fescueflow/platform/store.py
+++ b/src/fescueflow/platform/store.py
@@ -11,7 +11,7 @@
 import logbook
 
 from fescueflow.core import PlatformUnavailable, Revision
-from fescueflow.platform.http import Connect, Limits, connect_directly, read_url
+from fescueflow.platform.http import Connect, Limits, connect_twice, read_url
 from fescueflow.platform.records import MalformedResponse
 
 # Limit of pages in one read; a page holds up to about 500 items.
@@ -60,7 +60,7 @@
         self,
         address: str,
         limits: Limits | None = None,
-        connect: Connect = connect_directly,
+        connect: Connect = connect_twice,
     ) -> None:
         self._url = f"http://{address}"
         self._limits = limits or Limits(body_bytes=STORE_RESPONSE_BYTES_MAX)
--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -21,7 +21,13 @@
 from fescueflow.gateway.relay import Role, StoreRelay, decode_update
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
-from fescueflow.platform import TABLE_KEY, HistoryExpired, StoreItem, StoreResult
+from fescueflow.platform import (
+    TABLE_KEY,
+    HistoryExpired,
+    StoreItem,
+    StoreResult,
+    connect_twice,
+)
 from tests.gateway.builders import make_peer
 from tests.gateway.virtual_time import OwnedClock, VirtualTime
 
@@ -90,7 +96,8 @@
 class SimulatedClient:
     """Client of one instance, with calls that take time and may be lost.
 
-    ``lose`` is the number of next calls whose connection attempt is not answered.
+    ``lose`` is the number of next connection attempts that are not answered; a call
+    makes up to two.
     """
 
     def __init__(self, store, clock):
@@ -142,13 +149,19 @@
 
     def _connect(self):
         self.calls += 1
+        try:
+            connect_twice("store", READ_TIMEOUT_S, self._open)
+        except TimeoutError as error:
+            raise PlatformUnavailable("timed out") from error
+        if self.refuse:
+            raise PlatformUnavailable("status 503")
+
+    def _open(self, address, timeout_s):
         if self.lose:
             self.lose -= 1
-            self._clock.sleep(READ_TIMEOUT_S)
-            raise PlatformUnavailable("timed out")
+            self._clock.sleep(timeout_s)
+            raise TimeoutError
         self._clock.sleep(ONE_WAY_S)
-        if self.refuse:
-            raise PlatformUnavailable("status 503")
 
     def _answer(self):
         self._clock.sleep(ONE_WAY_S + self.answer_delay_s)
--- a/tests/gateway/test_late_configuration.py
+++ b/tests/gateway/test_late_configuration.py
@@ -7,6 +7,7 @@
 # Time in which a configuration must be in force, of the small deployments.
 APPLY_S = 2.0
 SETTLED_S = 3.0
+ATTEMPTS_PER_CALL = 2
 
 
 class FleetTest(unittest.TestCase):
@@ -31,14 +32,18 @@
         for seed in range(1, 13):
             with self.subTest(seed=seed):
                 fleet = self.make_fleet(seed)
-                fleet.random.choice(fleet.list_followers()).client.lose = 1
+                fleet.random.choice(
+                    fleet.list_followers()
+                ).client.lose = ATTEMPTS_PER_CALL
                 self.check_in_force(fleet)
 
     def test_follower_in_a_large_zone_loses_one_call(self):
         for seed in (1, 2, 3):
             with self.subTest(seed=seed):
                 fleet = self.make_fleet(seed, "a", 24)
-                fleet.random.choice(fleet.list_followers()).client.lose = 1
+                fleet.random.choice(
+                    fleet.list_followers()
+                ).client.lose = ATTEMPTS_PER_CALL
                 self.check_in_force(fleet)
 
     def test_reader_loses_one_call(self):
@@ -47,10 +52,18 @@
                 fleet = self.make_fleet(seed)
                 for instance in fleet.instances:
                     if instance not in fleet.list_followers():
-                        instance.client.lose = 1
+                        instance.client.lose = ATTEMPTS_PER_CALL
                 fleet.run(fleet.random.uniform(0.0, 0.5))
                 self.check_in_force(fleet)
 
+    def test_readers_and_followers_lose_one_attempt_each(self):
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                fleet = self.make_fleet(seed)
+                for instance in fleet.instances:
+                    instance.client.lose = 1
+                self.check_in_force(fleet)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -5,7 +5,13 @@
 import unittest
 
 from fescueflow.core import PlatformUnavailable
-from fescueflow.platform.http import Limits, connect_directly, read_url
+from fescueflow.platform.http import (
+    Limits,
+    connect_directly,
+    connect_twice,
+    read_url,
+)
+from fescueflow.platform.store import StoreClient
 
 BODY = b"x" * 50_000
 
@@ -59,5 +65,38 @@
                             )
 
 
+class LostAttemptTest(unittest.TestCase):
+    """Guards against calls that fail because one packet was lost."""
+
+    def connect(self, address, timeout_s):
+        self.timeouts.append(timeout_s)
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, OSError):
+            raise outcome
+        return outcome
+
+    def run_attempts(self, *outcomes):
+        self.timeouts, self.outcomes = [], list(outcomes)
+        return connect_twice("127.0.0.1:1", 0.7, self.connect)
+
+    def test_first_attempt_is_not_answered(self):
+        self.assertEqual(self.run_attempts(TimeoutError(), "socket"), "socket")
+        # Far less than what is left of 2 s after a delay and before a transfer.
+        self.assertLessEqual(self.timeouts[0], 0.25)
+        self.assertEqual(self.timeouts[1], 0.7)
+
+    def test_no_attempt_is_answered(self):
+        with self.assertRaises(TimeoutError):
+            self.run_attempts(TimeoutError(), TimeoutError())
+
+    def test_refused_connection_is_not_repeated(self):
+        with self.assertRaises(ConnectionRefusedError):
+            self.run_attempts(ConnectionRefusedError())
+        self.assertEqual(len(self.timeouts), 1)
+
+    def test_calls_of_the_store_repeat_attempts(self):
+        self.assertIs(StoreClient("127.0.0.1:1")._connect, connect_twice)
+
+
 if __name__ == "__main__":
     unittest.main()
