Keep notes of missing changes until an answer has them, and apply entries in order

What callers could see: a configuration that an instance had been told of stayed out of force for up to a second longer, an upstream that had left took requests again until its entry changed, and an instance took its state for current while it knew of a change that it did not have.

Cause: a stale read applied late. While an answer of the store is on its way, updates of other instances are handled. Any answer cleared the note that changes were missing, also one that was older than the note; a fetched value was applied whatever had come since; and the notes of keys to fetch were taken away while the fetch was on its way.

Change: a note holds the revision that it is about and stays until an answer goes as far or its call began after the note (gateway/missing.py); each key's entries are applied in the order of their revisions (gateway/entries.py), which updates now carry. An update that overlaps with the own state is applied instead of asking the store.

--- /dev/null
+++ b/src/fescueflow/gateway/entries.py
@@ -0,0 +1,61 @@
+"""Entries of the store, applied to the local state in the order of their revisions."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from fescueflow.core import Revision
+from fescueflow.gateway.changes import ChangeHandler
+from fescueflow.platform import StoreItem
+
+# Keys whose last revision is kept, deleted ones among them; more than a store of a
+# large fleet has. Without its revision, an item is applied as it comes.
+KEYS_MAX = 16_384
+
+
+class EntryWriter:
+    """Applies each key's entries in order, however they arrive; not thread-safe.
+
+    Parameters
+    ----------
+    handlers : sequence of ChangeHandler
+
+    Notes
+    -----
+    Pages of a read, answers to a watch, fetched values and updates of other instances
+    overlap, and an older value may come last.
+    """
+
+    def __init__(self, handlers: Sequence[ChangeHandler]) -> None:
+        self._handlers = handlers
+        self._revisions: OrderedDict[str, Revision] = OrderedDict()
+
+    def apply(self, items: Iterable[StoreItem]) -> None:
+        """Apply items that are newer than what is known."""
+        for item in filter(self._is_newer, items):
+            self._remember(item.key, item.revision)
+            for handler in self._handlers:
+                if item.key.startswith(handler.prefix):
+                    handler.apply(item)
+
+    def replace_all(self, items: Sequence[StoreItem]) -> None:
+        """Apply a complete read."""
+        self._revisions.clear()
+        for item in items:
+            self._remember(item.key, item.revision)
+        for handler in self._handlers:
+            prefix = handler.prefix
+            handler.replace_all(i for i in items if i.key.startswith(prefix))
+
+    def _is_newer(self, item: StoreItem) -> bool:
+        return not item.revision or item.revision > self._revisions.get(item.key, 0)
+
+    def _remember(self, key: str, revision: Revision) -> None:
+        if revision <= 0:
+            return
+        self._revisions[key] = revision
+        self._revisions.move_to_end(key)
+        if len(self._revisions) > KEYS_MAX:
+            self._revisions.popitem(last=False)
+
+
+__all__ = ["EntryWriter"]
--- a/src/fescueflow/gateway/relay.py
+++ b/src/fescueflow/gateway/relay.py
@@ -87,6 +87,17 @@
     items: tuple[StoreItem, ...] | None = field(default=())
     omitted: tuple[str, ...] = ()
 
+    def continues(self, revision: Revision) -> bool:
+        """Return whether the items bring a state of a revision up to the update's.
+
+        Notes
+        -----
+        Items that the state has already are left out by their revisions.
+        """
+        if self.items is None or self.base > revision:
+            return False
+        return self.base == revision or all(item.revision for item in self.items)
+
 
 def encode_update(update: StoreUpdate) -> bytes:
     """Return the datagram of an update, without values that are too large.
@@ -100,11 +111,7 @@
     if update.items is not None:
         large = [i for i in update.items if len(i.value or b"") > VALUE_BYTES_MAX]
         omitted |= {item.key for item in large}
-        items = [
-            [item.key, None if item.value is None else item.value.decode("latin-1")]
-            for item in update.items
-            if item not in large
-        ]
+        items = [encode_item(item) for item in update.items if item not in large]
     document = [
         update.sender,
         update.zone,
@@ -158,12 +165,19 @@
         raise ValueError(f"malformed update: {error!r}") from error
 
 
+def encode_item(item: StoreItem) -> list[str | int | None]:
+    """Return the fields of an item in an update."""
+    value = None if item.value is None else item.value.decode("latin-1")
+    return [item.key, value, item.revision]
+
+
 def decode_item(entry: Any) -> StoreItem:
-    """Return the item that was encoded as a key and a value."""
-    key, value = entry
+    """Return the item that was encoded as a key, a value and a revision."""
+    key, value, *rest = entry
     if not isinstance(key, str):
         raise ValueError("an item has no key")
-    return StoreItem(key, None if value is None else value.encode("latin-1"))
+    revision = Revision(int(rest[0]) if rest else 0)
+    return StoreItem(key, None if value is None else value.encode("latin-1"), revision)
 
 
 @dataclass
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -13,6 +13,8 @@
 )
 from fescueflow.gateway.call_pauses import CallPauses
 from fescueflow.gateway.changes import ChangeHandler
+from fescueflow.gateway.entries import EntryWriter
+from fescueflow.gateway.missing import MissingChanges
 from fescueflow.gateway.platform_state import EXPIRY_HEARTBEATS, PlatformState
 from fescueflow.gateway.relay import (
     FETCH_DELAY_MAX_S,
@@ -22,9 +24,9 @@
     StoreRelay,
     StoreUpdate,
 )
+from fescueflow.gateway.store_logs import log_changes, log_failed_call, log_gap
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
-    OPERATOR_PREFIX,
     HistoryExpired,
     StoreClient,
     StoreItem,
@@ -90,7 +92,7 @@
         relay: StoreRelay | None = None,
     ) -> None:
         self._client = client
-        self._handlers = handlers
+        self._writer = EntryWriter(handlers)
         self._platform_state = platform_state
         self._outage_min_s = OUTAGE_HEARTBEATS_MIN * heartbeat_s
         self._clock = clock
@@ -107,12 +109,9 @@
         self._relay = relay
         # Guards the revision and the state's changes against those of updates.
         self._lock = threading.RLock()
+        self._missing = MissingChanges()
         # Set if an update named changes that it did not carry, and at the end.
         self._is_behind = threading.Event()
-        self._has_gap = False
-        self._is_far_behind = False
-        # Keys whose last value an update did not include.
-        self._outdated_keys: set[str] = set()
         self._read_delay_s = 0.0
         # Whether a wait after a failed call has ended early since the last response.
         self._was_hurried = False
@@ -140,38 +139,32 @@
             revision = self._revision
             if revision is None or update.revision < revision:
                 return
-            self._record_return(self._clock.monotonic() - update.age_s)
-            if update.revision > revision:
-                if update.items is None or update.base != revision:
-                    self._has_gap = True
-                    self._is_far_behind = (
-                        update.revision - revision > HISTORY_CHANGES_MAX
-                    )
-                    self._is_behind.set()
-                    log.info(
-                        "changes are missing",
-                        extra={"revision": revision, "announced": update.revision},
-                    )
-                    return
             current_at = self._clock.monotonic() - update.age_s
+            self._record_return(current_at)
+            has_advanced = update.revision > revision
+            if has_advanced and not update.continues(revision):
+                self._missing.announce(update.revision)
+                self._is_behind.set()
+                log_gap(revision, update.revision)
+                return
             gained_s = current_at - self._responded_at
             if gained_s > 0:
                 self._record_response(current_at)
-            if update.revision > revision:
-                for item in update.items or ():
-                    self._apply(item)
-                self._revision = update.revision
-                self._metrics.count("store_updates")
-                if update.omitted:
-                    self._outdated_keys.update(update.omitted)
-                    self._is_behind.set()
-                log_changes("update", update.revision, update.items, update.omitted)
-            if not self._outdated_keys:
-                self._platform_state.mark_current(self._responded_at)
-        has_advanced = update.revision > revision
+            if has_advanced:
+                self._apply_update(update)
+            self._mark_current()
         if gained_s >= FORWARDED_GAIN_MIN_S or has_advanced:
             self._forward_to_zone(update, has_advanced)
 
+    def _apply_update(self, update: StoreUpdate) -> None:
+        self._apply(update.items or ())
+        self._revision = update.revision
+        self._metrics.count("store_updates")
+        if update.omitted:
+            self._missing.announce_keys(update.omitted, update.revision)
+            self._is_behind.set()
+        log_changes("update", update.revision, update.items, update.omitted)
+
     def _forward_to_zone(self, update: StoreUpdate, has_advanced: bool) -> None:
         """Pass on an update of another zone if the own zone may not hear it otherwise.
 
@@ -239,71 +232,87 @@
 
     def _wait_until_due(self) -> bool:
         """Wait for an update; return whether this follower has to read the store."""
-        if self._pauses.failures and self._misses_changes():
+        if self._misses_changes() and self._pauses.failures:
             # The pause after the failed call has spread the calls already.
             return not self._stopped.is_set()
-        if not self._misses_changes() and not self._clock.wait(
-            self._is_behind, self._get_remaining_s()
-        ):
-            return self._get_remaining_s() <= 0
+        if not self._misses_changes():
+            self._is_behind.clear()
+            if not self._misses_changes():
+                self._clock.wait(self._is_behind, self._get_remaining_s())
+            if not self._misses_changes():
+                return self._get_remaining_s() <= 0
         delay_s = self._random_source.uniform(FETCH_DELAY_MIN_S, FETCH_DELAY_MAX_S)
         self._clock.wait(self._stopped, delay_s)
         return self._misses_changes() and not self._stopped.is_set()
 
     def _misses_changes(self) -> bool:
-        return self._has_gap or bool(self._outdated_keys)
+        return self._missing.has_any(self._revision)
 
     def _get_remaining_s(self) -> float:
         """Return the time until this follower reads for itself."""
+        now = self._clock.monotonic()
         due_at = self._responded_at + FOLLOWER_AGE_MAX_S + self._read_delay_s
-        return due_at - self._clock.monotonic()
+        return due_at - now
 
     def _poll(self) -> None:
-        if self._outdated_keys and not self._has_gap and self._revision is not None:
-            self._fetch_outdated()
-            return
         revision = self._revision
-        is_fetch = self._is_behind.is_set()
-        age_s = self._clock.monotonic() - self._responded_at
-        if self._is_far_behind or age_s >= HISTORY_AGE_MAX_S:
+        now = self._clock.monotonic()
+        behind = self._missing.count_behind(revision)
+        if revision is not None and not behind:
+            if keys := self._missing.keys:
+                self._fetch(keys)
+                return
+        is_fetch = self._misses_changes()
+        age_s = now - self._responded_at
+        if behind > HISTORY_CHANGES_MAX or age_s >= HISTORY_AGE_MAX_S:
             revision = None
-        self._metrics.count("store_calls", kind="read" if revision is None else "watch")
-        if revision is None:
-            result = self._client.read(ALL_PREFIXES)
-        else:
-            wait_s = CHECK_TIMEOUT_S if self._is_follower() else WATCH_TIMEOUT_S
-            result = self._client.watch(ALL_PREFIXES, revision, wait_s)
+        noted = self._missing.announced
+        result = self._call(revision)
         with self._lock:
             self._record_response(self._clock.monotonic())
             self._record_success()
             self._accept_result(result, revision)
-        log_changes(
-            "read" if revision is None else "watch", result.revision, result.items
-        )
-        self._platform_state.mark_current(self._responded_at)
+            if self._missing.settle(noted, result.revision):
+                log.warning("revision {} was announced but does not exist", noted)
+            self._mark_current()
+        source = "read" if revision is None else "watch"
+        log_changes(source, result.revision, result.items)
         if self._relay is not None:
             self._publish(result, revision, is_fetch)
 
-    def _fetch_outdated(self) -> None:
-        """Read the last values of keys whose values updates did not include."""
-        with self._lock:
-            keys, self._outdated_keys = self._outdated_keys, set()
-            self._is_behind.clear()
-        try:
-            for key in sorted(keys):
-                self._metrics.count("store_calls", kind="fetch")
-                result = self._client.read(key)
-                with self._lock:
-                    for item in result.items:
-                        if item.key == key:
-                            self._apply(item)
-                log_changes("fetch", result.revision, result.items)
-                keys.remove(key)
-                self._record_success()
-        except PlatformUnavailable:
+    def _call(self, revision: Revision | None) -> StoreResult:
+        """Read all, or wait for the changes after a revision."""
+        self._metrics.count("store_calls", kind="read" if revision is None else "watch")
+        if revision is None:
+            return self._client.read(ALL_PREFIXES)
+        wait_s = CHECK_TIMEOUT_S if self._is_follower() else WATCH_TIMEOUT_S
+        return self._client.watch(ALL_PREFIXES, revision, wait_s)
+
+    def _fetch(self, keys: Iterable[str]) -> None:
+        """Read the last values of keys that updates did not include.
+
+        Notes
+        -----
+        The notes stay until the values are known, so that the state does not count as
+        current while a call is on its way.
+        """
+        for key in keys:
+            self._metrics.count("store_calls", kind="fetch")
+            noted = self._missing.get_noted(key)
+            result = self._client.read(key)
+            deleted = StoreItem(key, None, result.revision)
+            items = [i for i in result.items if i.key == key] or [deleted]
             with self._lock:
-                self._outdated_keys |= keys
-            raise
+                self._apply(items)
+                self._missing.resolve_key(key, max(noted, result.revision))
+                self._record_success()
+                self._mark_current()
+            log_changes("fetch", result.revision, items)
+
+    def _mark_current(self) -> None:
+        """Record that the whole state is current, unless a change is known to miss."""
+        if not self._missing.has_any(self._revision):
+            self._platform_state.mark_current(self._responded_at)
 
     def _publish(
         self, result: StoreResult, revision: Revision | None, is_fetch: bool
@@ -328,25 +337,20 @@
             self._relay.set_may_read(True)
 
     def _accept_result(self, result: StoreResult, after: Revision | None) -> None:
-        """Apply the result of a call unless updates have already gone further."""
-        self._is_behind.clear()
-        self._has_gap = self._is_far_behind = False
-        if self._revision is not None and self._revision > result.revision:
-            return
-        if after is None:
-            self._outdated_keys.clear()
-            for handler in self._handlers:
-                prefix = handler.prefix
-                handler.replace_all(i for i in result.items if i.key.startswith(prefix))
-        elif self._revision != result.revision or after == self._revision:
-            for item in result.items:
-                self._apply(item)
-        self._revision = result.revision
-
-    def _apply(self, item: StoreItem) -> None:
-        for handler in self._handlers:
-            if item.key.startswith(handler.prefix):
-                handler.apply(item)
+        """Apply the result of a call; updates may have gone further meanwhile."""
+        is_older = self._revision is not None and self._revision > result.revision
+        if after is not None:
+            self._apply([i for i in result.items if i.revision or not is_older])
+        elif not is_older:
+            self._writer.replace_all(result.items)
+            self._missing.resolve_all(result.revision)
+        if not is_older:
+            self._revision = result.revision
+
+    def _apply(self, items: Sequence[StoreItem]) -> None:
+        self._writer.apply(items)
+        for item in items:
+            self._missing.resolve_key(item.key, item.revision)
 
     def _record_response(self, now: float) -> None:
         """Note that the state is current as of a time."""
@@ -381,55 +385,18 @@
             self._is_away = True
         if self._relay is None or not self._is_follower():
             pause_s = self._pauses.draw_reader_pause()
-            self._log_pause(error, pause_s)
+            self._log_failure(error, pause_s)
             self._clock.wait(self._stopped, pause_s)
             return
         pause_s = self._pauses.draw_follower_pause(
             self._relay.count_zone(), self._misses_changes()
         )
-        self._log_pause(error, pause_s)
+        self._log_failure(error, pause_s)
         self._wait_as_follower(pause_s)
 
-    def _log_pause(self, error: PlatformUnavailable, delay_s: float) -> None:
-        """Log a failed call, what this instance misses and when it calls again."""
-        log.info(
-            "call of the store repeated later",
-            extra={
-                "why": str(error),
-                "pause_ms": round(delay_s * 1000),
-                "missing": sorted(self._outdated_keys),
-                "has_gap": self._has_gap,
-                "is_follower": self._is_follower(),
-                "belief_age_ms": round(
-                    (self._clock.monotonic() - self._responded_at) * 1000
-                ),
-            },
-        )
-
-
-def log_changes(
-    source: str,
-    revision: Revision,
-    items: Iterable[StoreItem] | None,
-    omitted: Iterable[str] = (),
-) -> None:
-    """Log how entries of the operator arrived, and keys whose values did not.
-
-    Notes
-    -----
-    Entries of upstreams are renewed each second and are not logged here.
-    """
-    keys = sorted({i.key for i in items or () if i.key.startswith(OPERATOR_PREFIX)})
-    if keys or omitted:
-        log.info(
-            "operator's entries received",
-            extra={
-                "source": source,
-                "revision": revision,
-                "keys": keys,
-                "omitted": sorted(omitted),
-            },
-        )
+    def _log_failure(self, error: PlatformUnavailable, pause_s: float) -> None:
+        age_s = self._clock.monotonic() - self._responded_at
+        log_failed_call(error, pause_s, self._missing, self._revision, age_s)
 
 
 __all__ = [
--- a/src/fescueflow/platform/store.py
+++ b/src/fescueflow/platform/store.py
@@ -29,10 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreItem:
-    """A key and its value, or ``None`` if the key was deleted."""
+    """A key and its value, or ``None`` if the key was deleted.
+
+    ``revision`` is that of the key's last change, 0 if it is not known.
+    """
 
     key: str
     value: bytes | None
+    revision: Revision = Revision(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,15 +158,24 @@
         if not isinstance(key, str):
             log.warning("an item of the store without a key is ignored")
             continue
+        revision = read_item_revision(entry)
         if entry.get("deleted"):
-            yield StoreItem(key, None)
+            yield StoreItem(key, None, revision)
             continue
         try:
             value = base64.b64decode(entry["value"], validate=True)
         except (KeyError, TypeError, ValueError, binascii.Error) as error:
             log.warning("value of {} can't be decoded: {!r}", key, error)
             value = b""
-        yield StoreItem(key, value)
+        yield StoreItem(key, value, revision)
+
+
+def read_item_revision(entry: dict[str, Any]) -> Revision:
+    """Return the revision of an item's last change, 0 if it has none."""
+    revision = entry.get("revision")
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        return Revision(0)
+    return Revision(max(0, revision))
 
 
 __all__ = [
--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -30,8 +30,10 @@
 )
 from tests.gateway.builders import make_peer
 from tests.gateway.virtual_time import OwnedClock, VirtualTime
+from tests.routing.builders import ENGINES
 
 HEARTBEAT_S = 1.2
+UPSTREAM_KEY = "servers/u1"
 # Delay of a datagram and of each way of a call.
 DATAGRAM_S = 0.003
 ONE_WAY_S = 0.004
@@ -90,7 +92,7 @@
 
 def make_item(change):
     """Return a change as the product's client does."""
-    return StoreItem(change.key, change.value)
+    return StoreItem(change.key, change.value, Revision(change.revision))
 
 
 class SimulatedClient:
@@ -201,6 +203,11 @@
         while True:
             self.watcher.run_once()
 
+    def list_upstreams(self):
+        """Return the names of the upstreams that take requests."""
+        now = self.clock.monotonic()
+        return {str(u.id) for u in self.state.list_upstreams(ENGINES, now)}
+
     def get_version(self):
         """Return the version of the configuration in force, 0 for none."""
         table = self.state.get_table()
@@ -240,6 +247,20 @@
         self.store.put(TABLE_KEY, value, step=self.random.randint(1, 3))
         return self._version
 
+    def put_upstream(self, state="ready", **fields):
+        """Put the entry of an upstream; further fields make it larger."""
+        entry = {
+            "service": ENGINES,
+            "address": "127.0.0.1:1",
+            "zone": "a",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "born": 1,
+            **fields,
+        }
+        return self.store.put(UPSTREAM_KEY, json.dumps(entry).encode())
+
     def run(self, seconds):
         """Let the time pass."""
         self.time.run(seconds)
