Read an entry again that arrived unreadable

What callers could see: a configuration whose bytes were spoiled on the way to one instance was never in force there, until the next one came; an upstream whose entry was spoiled got no requests from it until its next entry.

Cause: an entry that could not be decoded was logged and dropped, while the revision went on, so that nothing asked for it again (a lost update).

Change: the key is noted and read again after 0.3, 0.9 and 2.7 s. An entry that stays unreadable, such as one that another writer left, is not read any more until it changes (test_entry_that_stays_unreadable). The state does not count as current meanwhile.

--- a/src/fescueflow/gateway/changes.py
+++ b/src/fescueflow/gateway/changes.py
@@ -21,6 +21,20 @@
 log = logbook.Logger("store")
 
 
+class UnreadableEntries(Exception):
+    """Raised after all readable entries were applied.
+
+    Parameters
+    ----------
+    keys : list of str
+        Keys of the others.
+    """
+
+    def __init__(self, keys: list[str]) -> None:
+        super().__init__(f"unreadable entries: {keys}")
+        self.keys = keys
+
+
 class ChangeHandler(ABC):
     """Applies the store's entries below one prefix to the local state."""
 
@@ -28,11 +42,21 @@
 
     @abstractmethod
     def replace_all(self, items: Iterable[StoreItem]) -> None:
-        """Apply a complete result of a read."""
+        """Apply a complete result of a read.
+
+        Raises
+        ------
+        UnreadableEntries
+        """
 
     @abstractmethod
     def apply(self, item: StoreItem) -> None:
-        """Apply one change."""
+        """Apply one change.
+
+        Raises
+        ------
+        UnreadableEntries
+        """
 
 
 class UpstreamChangeHandler(ChangeHandler):
@@ -53,14 +77,17 @@
     def replace_all(self, items: Iterable[StoreItem]) -> None:
         """Apply a complete result of a read."""
         now = self._clock.monotonic()
-        found = []
+        found, unreadable = [], []
         for item in items:
             try:
                 found.append(parse_upstream(item.key, item.value or b"", now))
             except MalformedResponse as error:
                 log.warning("entry {} ignored: {}", item.key, error)
+                unreadable.append(item.key)
         self._platform_state.replace_upstreams(found, now)
         log.info("upstreams read: {}", len(found))
+        if unreadable:
+            raise UnreadableEntries(unreadable)
 
     def apply(self, item: StoreItem) -> None:
         """Apply one change."""
@@ -78,7 +105,7 @@
             # Without a readable entry, the upstream must not be used.
             self._platform_state.remove_upstream(name, now)
             log.warning("entry {} ignored: {}", item.key, error)
-            return
+            raise UnreadableEntries([item.key]) from error
         self._platform_state.put_upstream(upstream)
         log.info(
             "upstream listed",
@@ -109,15 +136,15 @@
     def replace_all(self, items: Iterable[StoreItem]) -> None:
         """Apply a complete result of a read."""
         listed = list(items)
-        for item in listed:
-            if item.key == TABLE_KEY:
-                self.apply(item)
         zones = {
             ZoneId(item.key.removeprefix(WITHDRAWN_PREFIX))
             for item in listed
             if item.key.startswith(WITHDRAWN_PREFIX)
         }
         self._set_withdrawn_zones(zones)
+        for item in listed:
+            if item.key == TABLE_KEY:
+                self.apply(item)
 
     def apply(self, item: StoreItem) -> None:
         """Apply one change."""
@@ -131,7 +158,7 @@
                 table = parse_table(item.value)
             except MalformedResponse as error:
                 log.error("configuration refused, keeping the last one: {}", error)
-                return
+                raise UnreadableEntries([item.key]) from error
             accepted = self._platform_state.accept_table(table)
             log.info("configuration {} in force: {}", table.version, accepted)
 
@@ -143,4 +170,9 @@
             log.info("withdrawn zones: {}", sorted(after))
 
 
-__all__ = ["ChangeHandler", "OperatorChangeHandler", "UpstreamChangeHandler"]
+__all__ = [
+    "ChangeHandler",
+    "OperatorChangeHandler",
+    "UnreadableEntries",
+    "UpstreamChangeHandler",
+]
--- a/src/fescueflow/gateway/entries.py
+++ b/src/fescueflow/gateway/entries.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from fescueflow.core import Revision
-from fescueflow.gateway.changes import ChangeHandler
+from fescueflow.gateway.changes import ChangeHandler, UnreadableEntries
 from fescueflow.platform import StoreItem
 
 # Keys whose last revision is kept, deleted ones among them; more than a store of a
@@ -29,22 +29,36 @@
         self._handlers = handlers
         self._revisions: OrderedDict[str, Revision] = OrderedDict()
 
-    def apply(self, items: Iterable[StoreItem]) -> None:
-        """Apply items that are newer than what is known."""
+    def apply(self, items: Iterable[StoreItem]) -> list[str]:
+        """Apply items that are newer than what is known; return unreadable keys."""
+        unreadable = []
         for item in filter(self._is_newer, items):
             self._remember(item.key, item.revision)
             for handler in self._handlers:
                 if item.key.startswith(handler.prefix):
-                    handler.apply(item)
+                    try:
+                        handler.apply(item)
+                    except UnreadableEntries as error:
+                        unreadable += error.keys
+                        # The same revision is accepted when it is read again.
+                        self._remember(item.key, Revision(item.revision - 1))
+        return unreadable
 
-    def replace_all(self, items: Sequence[StoreItem]) -> None:
-        """Apply a complete read."""
+    def replace_all(self, items: Sequence[StoreItem]) -> list[str]:
+        """Apply a complete read; return unreadable keys."""
+        unreadable = []
         self._revisions.clear()
         for item in items:
             self._remember(item.key, item.revision)
         for handler in self._handlers:
             prefix = handler.prefix
-            handler.replace_all(i for i in items if i.key.startswith(prefix))
+            try:
+                handler.replace_all(i for i in items if i.key.startswith(prefix))
+            except UnreadableEntries as error:
+                unreadable += error.keys
+        for key in unreadable:
+            self._revisions.pop(key, None)
+        return unreadable
 
     def _is_newer(self, item: StoreItem) -> bool:
         return not item.revision or item.revision > self._revisions.get(item.key, 0)
--- a/src/fescueflow/gateway/missing.py
+++ b/src/fescueflow/gateway/missing.py
@@ -11,14 +11,22 @@
 
 from fescueflow.core import Revision
 
+# Attempts to read an entry again that could not be decoded, and the first pause, in
+# seconds. An entry that was spoiled on its way is readable the next time; one that
+# another writer left stays as it is until it changes.
+UNREADABLE_ATTEMPTS_MAX = 3
+UNREADABLE_PAUSE_S = 0.3
+
 
 class MissingChanges:
-    """Notes of missing changes; not thread-safe."""
+    """Notes of missing changes and of entries to read again; not thread-safe."""
 
     def __init__(self) -> None:
         self._announced = Revision(0)
         # Keys whose last value an update did not include, with its revision.
         self._keys: dict[str, Revision] = {}
+        # Keys of unreadable entries: failed attempts, and the time of the next one.
+        self._unreadable: dict[str, tuple[int, float]] = {}
 
     @property
     def keys(self) -> list[str]:
@@ -43,6 +51,10 @@
         """Return how many revisions the announced one is ahead of a state's."""
         return max(0, self._announced - (revision or 0))
 
+    def is_complete(self, revision: Revision | None) -> bool:
+        """Return whether a state of a revision lacks nothing, as far as is known."""
+        return not self.has_any(revision) and self.get_next_due_s(0.0) is None
+
     def has_any(self, revision: Revision | None) -> bool:
         """Return whether a state of a revision lacks a change that is known of."""
         return bool(self._keys) or self.count_behind(revision) > 0
@@ -76,5 +88,37 @@
         for key in self.keys:
             self.resolve_key(key, revision)
 
+    def record_unreadable(self, key: str, now: float) -> None:
+        """Note an entry that could not be decoded."""
+        attempts, _ = self._unreadable.get(key, (0, 0.0))
+        pause_s = UNREADABLE_PAUSE_S * 3**attempts
+        self._unreadable[key] = attempts + 1, now + pause_s
+
+    def record_readable(self, key: str) -> None:
+        """Clear the note of an entry that could not be decoded."""
+        self._unreadable.pop(key, None)
+
+    def retain_unreadable(self, keys: Iterable[str]) -> None:
+        """Forget unreadable entries that a complete read does not have."""
+        kept = frozenset(keys)
+        self._unreadable = {k: v for k, v in self._unreadable.items() if k in kept}
+
+    def list_due(self, now: float) -> list[str]:
+        """Return the unreadable entries to read again by now."""
+        return sorted(
+            key
+            for key, (attempts, due_at) in self._unreadable.items()
+            if attempts <= UNREADABLE_ATTEMPTS_MAX and due_at <= now
+        )
+
+    def get_next_due_s(self, now: float) -> float | None:
+        """Return the time until an unreadable entry is read again, if any is."""
+        times = [
+            due_at - now
+            for attempts, due_at in self._unreadable.values()
+            if attempts <= UNREADABLE_ATTEMPTS_MAX
+        ]
+        return max(0.0, min(times)) if times else None
+
 
 __all__ = ["MissingChanges"]
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -252,14 +252,16 @@
         """Return the time until this follower reads for itself."""
         now = self._clock.monotonic()
         due_at = self._responded_at + FOLLOWER_AGE_MAX_S + self._read_delay_s
-        return due_at - now
+        retry_s = self._missing.get_next_due_s(now)
+        return due_at - now if retry_s is None else min(due_at - now, retry_s)
 
     def _poll(self) -> None:
         revision = self._revision
         now = self._clock.monotonic()
         behind = self._missing.count_behind(revision)
         if revision is not None and not behind:
-            if keys := self._missing.keys:
+            keys = self._missing.keys or self._missing.list_due(now)
+            if keys:
                 self._fetch(keys)
                 return
         is_fetch = self._misses_changes()
@@ -311,7 +313,7 @@
 
     def _mark_current(self) -> None:
         """Record that the whole state is current, unless a change is known to miss."""
-        if not self._missing.has_any(self._revision):
+        if self._missing.is_complete(self._revision):
             self._platform_state.mark_current(self._responded_at)
 
     def _publish(
@@ -342,15 +344,22 @@
         if after is not None:
             self._apply([i for i in result.items if i.revision or not is_older])
         elif not is_older:
-            self._writer.replace_all(result.items)
+            self._note_unreadable(self._writer.replace_all(result.items))
             self._missing.resolve_all(result.revision)
         if not is_older:
             self._revision = result.revision
 
     def _apply(self, items: Sequence[StoreItem]) -> None:
-        self._writer.apply(items)
+        unreadable = self._writer.apply(items)
         for item in items:
             self._missing.resolve_key(item.key, item.revision)
+            if item.key not in unreadable:
+                self._missing.record_readable(item.key)
+        self._note_unreadable(unreadable)
+
+    def _note_unreadable(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            self._missing.record_unreadable(key, self._clock.monotonic())
 
     def _record_response(self, now: float) -> None:
         """Note that the state is current as of a time."""
--- a/tests/gateway/test_overtaken_answers.py
+++ b/tests/gateway/test_overtaken_answers.py
@@ -3,6 +3,7 @@
 import unittest
 
 from fescueflow.gateway.relay import FETCH_DELAY_MAX_S
+from fescueflow.platform import TABLE_KEY, StoreItem
 from tests.gateway.store_fleet import UPSTREAM_KEY
 from tests.gateway.test_late_configuration import APPLY_S, FleetTest
 
@@ -80,5 +81,47 @@
         self.check_in_force(self.fleet)
 
 
+class SpoiledEntryTest(FleetTest):
+    """Guards against an entry that is never read again after it arrived spoiled."""
+
+    def setUp(self):
+        self.fleet = self.make_fleet(1)
+
+    def spoil_once(self, instance, key):
+        def spoil(items):
+            if not any(item.key == key for item in items):
+                return items
+            instance.client.spoil = list
+            return [
+                StoreItem(i.key, b"{", i.revision) if i.key == key else i for i in items
+            ]
+
+        instance.client.spoil = spoil
+
+    def test_spoiled_configuration(self):
+        for instance in self.fleet.instances:
+            with self.subTest(instance=instance.name):
+                self.spoil_once(instance, TABLE_KEY)
+                self.check_in_force(self.fleet)
+
+    def test_spoiled_upstream(self):
+        for instance in self.fleet.instances:
+            self.spoil_once(instance, UPSTREAM_KEY)
+        self.fleet.put_upstream(more=LARGE)
+        self.fleet.run(APPLY_S)
+        for instance in self.fleet.instances:
+            self.assertEqual(instance.list_upstreams(), {"u1"})
+
+    def test_entry_that_stays_unreadable(self):
+        """Guards against reading an odd entry of another writer again and again."""
+        self.fleet.store.put(UPSTREAM_KEY, b"[[")
+        self.fleet.run(6.0)
+        calls = sum(instance.client.calls for instance in self.fleet.instances)
+        self.fleet.run(10.0)
+        after = sum(instance.client.calls for instance in self.fleet.instances)
+        # Two calls a second of each of three readers.
+        self.assertLess(after - calls, 1.2 * 10 * 3 * 2)
+
+
 if __name__ == "__main__":
     unittest.main()
