Refuse unknown keys and routes for good only by a current state

What callers saw: 401 or 404, which tell a caller not to come back, for a key or route that a confirmed configuration has, from an instance that did not have it yet.

Cause: a check (the lookup) used a state whose age and known gaps nobody looked at.

Change: if the state is older than 1.0 s, or lacks a change that the instance knows of, an unknown key or route makes it ask the store, once for all requests that wait and at most each 0.25 s; a fetch that is due takes place without its random delay. Up to eight requests wait, for up to 0.6 s. Who is still unknown gets 503, not run, with Retry-After, at once if the store does not answer this instance.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -7,7 +7,6 @@
     BodyTooLarge,
     Clock,
     DeadlineExceeded,
-    NotReady,
     PromptQuarantined,
     RequestError,
 )
@@ -20,7 +19,6 @@
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
-    log_refusal,
     log_selection,
     log_stream_end,
 )
@@ -30,7 +28,8 @@
     Response,
     describe_prompt,
 )
-from fescueflow.gateway.selection import RETRY_AFTER_MS, UpstreamSelector
+from fescueflow.gateway.route_lookup import RouteLookup
+from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.streams import (
     EventSplitter,
     RelayTimes,
@@ -46,12 +45,8 @@
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     AttemptFailure,
-    NoRoute,
     RouteKind,
-    UnknownKey,
     choose_service,
-    find_customer,
-    find_route,
     may_retry,
 )
 
@@ -77,6 +72,7 @@
     clock : Clock
     quarantine : PromptQuarantine
     buffers : AnswerBuffers
+    lookup : RouteLookup
     """
 
     def __init__(
@@ -88,7 +84,9 @@
         clock: Clock,
         quarantine: PromptQuarantine,
         buffers: AnswerBuffers,
+        lookup: RouteLookup,
     ) -> None:
+        self._lookup = lookup
         self._quarantine = quarantine
         self._buffers = buffers
         self._platform_state = platform_state
@@ -140,18 +138,7 @@
             raise
 
     def _create_context(self, request: CallerRequest) -> RequestContext:
-        table = self._platform_state.get_table()
-        if table is None:
-            raise NotReady(
-                "no configuration is known yet", retry_after_ms=RETRY_AFTER_MS
-            )
-        try:
-            route = find_route(table, request.host, request.target.partition("?")[0])
-            customer = find_customer(table, route, request.headers.api_key)
-        except (NoRoute, UnknownKey) as error:
-            age_s = self._platform_state.get_age(self._clock.monotonic())
-            log_refusal(request, error, table, age_s)
-            raise
+        table, route, customer = self._lookup.find(request)
         if len(request.body) > table.limits.body_bytes:
             raise BodyTooLarge(f"the body exceeds {table.limits.body_bytes} bytes")
         limit_s = route.timeout_s
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -24,6 +24,7 @@
     OperatorChangeHandler,
     UpstreamChangeHandler,
 )
+from fescueflow.gateway.confirmation import StateConfirmation
 from fescueflow.gateway.connections import ConnectionPool
 from fescueflow.gateway.departure import (
     CUTTING_FRACTION,
@@ -40,6 +41,7 @@
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.relay import StoreRelay, decode_update
 from fescueflow.gateway.reporting import Reporter
+from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
@@ -237,6 +239,11 @@
             clock=self._clock,
             quarantine=self._quarantine,
             buffers=AnswerBuffers(self._boot.memory_mb * 1e6),
+            lookup=RouteLookup(
+                self._platform_state,
+                StateConfirmation(self._watcher, self._clock),
+                self._clock,
+            ),
         )
         application = CallerApplication(
             forwarder=forwarder,
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -1,5 +1,6 @@
 """Watch of the platform's store that keeps the local state current."""
 
+import math
 import threading
 from collections.abc import Iterable, Sequence
 
@@ -13,9 +14,10 @@
 )
 from fescueflow.gateway.call_pauses import CallPauses
 from fescueflow.gateway.changes import ChangeHandler
+from fescueflow.gateway.confirmation import CURRENT_AGE_MAX_S, StateSource
 from fescueflow.gateway.entries import EntryWriter
 from fescueflow.gateway.missing import MissingChanges
-from fescueflow.gateway.platform_state import EXPIRY_HEARTBEATS, PlatformState
+from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.relay import (
     FETCH_DELAY_MAX_S,
     FETCH_DELAY_MIN_S,
@@ -24,6 +26,7 @@
     StoreRelay,
     StoreUpdate,
 )
+from fescueflow.gateway.store_contact import StoreContact
 from fescueflow.gateway.store_logs import log_changes, log_failed_call, log_gap
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -43,14 +46,14 @@
 READ_TIMEOUT_S = 0.7
 # One watch covers all prefixes, since each call costs the same.
 ALL_PREFIXES = ""
-# Shortest outage after which entries may have expired: they expire after missed
-# heartbeats, of which the last before the outage may be up to one interval old.
-OUTAGE_HEARTBEATS_MIN = EXPIRY_HEARTBEATS - 1.0
 # Age of the state from which everything is read again instead of the changes since: a
 # series of large configurations takes longer to transfer than the last one alone.
 HISTORY_AGE_MAX_S = 2.5
 # Missed revisions from which everything is read, for the same reason.
 HISTORY_CHANGES_MAX = 8
+# Shortest time between two reads that requests with unknown keys or routes ask for.
+# Callers may send made-up ones at any rate.
+HURRY_INTERVAL_S = 0.25
 # Least gain in age for which an update of another zone is passed on: most of the
 # interval of updates.
 FORWARDED_GAIN_MIN_S = 0.3
@@ -58,7 +61,7 @@
 log = logbook.Logger("store")
 
 
-class StoreWatcher:
+class StoreWatcher(StateSource):
     """Reads the whole store, then watches its changes until it is stopped.
 
     Parameters
@@ -94,24 +97,22 @@
         self._client = client
         self._writer = EntryWriter(handlers)
         self._platform_state = platform_state
-        self._outage_min_s = OUTAGE_HEARTBEATS_MIN * heartbeat_s
         self._clock = clock
         self._random_source = random_source
         self._metrics = metrics
         self._stopped = threading.Event()
         self._revision: Revision | None = None
         self._pauses = CallPauses(random_source)
-        # Whether calls fail and no other instance has told of a response since.
-        self._is_away = False
-        self._responded_at = clock.monotonic()
-        # When the store is first known to have answered after the last response.
-        self._returned_at: float | None = None
+        self._contact = StoreContact(platform_state, heartbeat_s, clock.monotonic())
         self._relay = relay
         # Guards the revision and the state's changes against those of updates.
         self._lock = threading.RLock()
         self._missing = MissingChanges()
         # Set if an update named changes that it did not carry, and at the end.
         self._is_behind = threading.Event()
+        # Set if requests wait for a current state, and at the end.
+        self._is_hurried = threading.Event()
+        self._hurried_at = -math.inf
         self._read_delay_s = 0.0
         # Whether a wait after a failed call has ended early since the last response.
         self._was_hurried = False
@@ -129,6 +130,26 @@
         """Stop the thread after its current call."""
         self._stopped.set()
         self._is_behind.set()
+        self._is_hurried.set()
+
+    def is_current(self) -> bool:
+        """Return whether the state is new and lacks no change that is known of."""
+        with self._lock:
+            age_s = self._clock.monotonic() - self._contact.responded_at
+            is_complete = self._missing.is_complete(self._revision)
+            return is_complete and age_s <= CURRENT_AGE_MAX_S
+
+    def is_reachable(self) -> bool:
+        """Return whether the last call of the store succeeded."""
+        return not self._pauses.failures
+
+    def hurry(self) -> None:
+        """Read the store soon; asked again within a short time, do nothing."""
+        now = self._clock.monotonic()
+        if now - self._hurried_at >= HURRY_INTERVAL_S:
+            self._hurried_at = now
+            self._is_hurried.set()
+            self._is_behind.set()
 
     def handle_update(self, update: StoreUpdate) -> None:
         """Apply what another instance has read, if it continues the own state."""
@@ -140,16 +161,16 @@
             if revision is None or update.revision < revision:
                 return
             current_at = self._clock.monotonic() - update.age_s
-            self._record_return(current_at)
+            self._contact.record_return(current_at)
             has_advanced = update.revision > revision
             if has_advanced and not update.continues(revision):
                 self._missing.announce(update.revision)
                 self._is_behind.set()
                 log_gap(revision, update.revision)
                 return
-            gained_s = current_at - self._responded_at
+            gained_s = current_at - self._contact.responded_at
             if gained_s > 0:
-                self._record_response(current_at)
+                self._contact.record_response(current_at)
             if has_advanced:
                 self._apply_update(update)
             self._mark_current()
@@ -180,7 +201,7 @@
         is_silent = self._relay.is_zone_silent() and self._relay.take_over()
         is_reader = self._relay.role is Role.READER
         if self._pauses.failures or is_silent or (is_reader and has_advanced):
-            age_s = self._clock.monotonic() - self._responded_at
+            age_s = self._clock.monotonic() - self._contact.responded_at
             self._relay.publish(
                 update.base, update.revision, age_s, update.items, update.omitted
             )
@@ -193,6 +214,8 @@
         try:
             if self._is_follower() and not self._wait_until_due():
                 return
+            if not self._stopped.is_set():
+                self._is_hurried.clear()
             self._poll()
         except HistoryExpired:
             log.info("the store's history is gone, all entries are read again")
@@ -235,15 +258,19 @@
         if self._misses_changes() and self._pauses.failures:
             # The pause after the failed call has spread the calls already.
             return not self._stopped.is_set()
-        if not self._misses_changes():
+        if not self._has_reason():
             self._is_behind.clear()
-            if not self._misses_changes():
+            if not self._has_reason():
                 self._clock.wait(self._is_behind, self._get_remaining_s())
-            if not self._misses_changes():
+            if not self._has_reason():
                 return self._get_remaining_s() <= 0
         delay_s = self._random_source.uniform(FETCH_DELAY_MIN_S, FETCH_DELAY_MAX_S)
-        self._clock.wait(self._stopped, delay_s)
-        return self._misses_changes() and not self._stopped.is_set()
+        self._clock.wait(self._is_hurried, delay_s)
+        return self._has_reason() and not self._stopped.is_set()
+
+    def _has_reason(self) -> bool:
+        """Return whether a call should not wait until the state is old."""
+        return self._is_hurried.is_set() or self._misses_changes()
 
     def _misses_changes(self) -> bool:
         return self._missing.has_any(self._revision)
@@ -251,7 +278,7 @@
     def _get_remaining_s(self) -> float:
         """Return the time until this follower reads for itself."""
         now = self._clock.monotonic()
-        due_at = self._responded_at + FOLLOWER_AGE_MAX_S + self._read_delay_s
+        due_at = self._contact.responded_at + FOLLOWER_AGE_MAX_S + self._read_delay_s
         retry_s = self._missing.get_next_due_s(now)
         return due_at - now if retry_s is None else min(due_at - now, retry_s)
 
@@ -265,13 +292,13 @@
                 self._fetch(keys)
                 return
         is_fetch = self._misses_changes()
-        age_s = now - self._responded_at
+        age_s = now - self._contact.responded_at
         if behind > HISTORY_CHANGES_MAX or age_s >= HISTORY_AGE_MAX_S:
             revision = None
         noted = self._missing.announced
         result = self._call(revision)
         with self._lock:
-            self._record_response(self._clock.monotonic())
+            self._contact.record_response(self._clock.monotonic())
             self._record_success()
             self._accept_result(result, revision)
             if self._missing.settle(noted, result.revision):
@@ -314,7 +341,7 @@
     def _mark_current(self) -> None:
         """Record that the whole state is current, unless a change is known to miss."""
         if self._missing.is_complete(self._revision):
-            self._platform_state.mark_current(self._responded_at)
+            self._platform_state.mark_current(self._contact.responded_at)
 
     def _publish(
         self, result: StoreResult, revision: Revision | None, is_fetch: bool
@@ -328,7 +355,7 @@
         self._relay.publish(
             base=result.revision if revision is None else revision,
             revision=result.revision,
-            age_s=self._clock.monotonic() - self._responded_at,
+            age_s=self._clock.monotonic() - self._contact.responded_at,
             items=None if revision is None else result.items,
         )
 
@@ -361,37 +388,11 @@
         for key in keys:
             self._missing.record_unreadable(key, self._clock.monotonic())
 
-    def _record_response(self, now: float) -> None:
-        """Note that the state is current as of a time."""
-        self._record_return(now)
-        returned_at, self._returned_at = self._returned_at, None
-        silent_s, self._responded_at = now - self._responded_at, now
-        if self._is_away:
-            log.info("the store answers again after {:.1f} s", silent_s)
-            self._is_away = False
-        if silent_s >= self._outage_min_s:
-            # Entries may have expired: deletions arrive now, restored entries soon.
-            self._platform_state.start_recovery_grace(returned_at or now)
-
-    def _record_return(self, now: float) -> None:
-        """Note that the store has answered someone at a time after an outage.
-
-        Notes
-        -----
-        An instance that was cut off hears of others' responses before it has read the
-        store itself. Entries that expired have had time to return since then. What
-        others heard before the outage is no sign of its end.
-        """
-        if self._returned_at is None and now - self._responded_at >= self._outage_min_s:
-            self._returned_at = now
-
     def _record_failure(self, error: PlatformUnavailable) -> None:
         self._metrics.count("store_failures")
         if self._relay is not None:
             self._relay.set_may_read(False)
-        if not self._is_away:
-            log.warning("no answer of the store: {}", error)
-            self._is_away = True
+        self._contact.record_failure(error)
         if self._relay is None or not self._is_follower():
             pause_s = self._pauses.draw_reader_pause()
             self._log_failure(error, pause_s)
@@ -404,7 +405,7 @@
         self._wait_as_follower(pause_s)
 
     def _log_failure(self, error: PlatformUnavailable, pause_s: float) -> None:
-        age_s = self._clock.monotonic() - self._responded_at
+        age_s = self._clock.monotonic() - self._contact.responded_at
         log_failed_call(error, pause_s, self._missing, self._revision, age_s)
 
 
