Draw runs of the store's watch in which faults overlap with changes

The randomised runs of the relay draw instances, cuts and refusals whose calls take no time. They check each change at each instance that is not in trouble itself, that nothing goes back, that no state counts as current without a change of the second before, and that all instances end with what the store has.

--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -23,6 +23,7 @@
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
     TABLE_KEY,
+    WITHDRAWN_PREFIX,
     HistoryExpired,
     StoreItem,
     StoreResult,
@@ -108,6 +109,9 @@
         self.lose = 0
         self.refuse = False
         self.calls = 0
+        # Share of connection attempts that are lost.
+        self.loss = 0.0
+        self.random = random.Random(0)
         # Further time from the moment that an answer describes to its arrival.
         self.answer_delay_s = 0.0
         self.page_size = 500
@@ -159,8 +163,8 @@
             raise PlatformUnavailable("status 503")
 
     def _open(self, address, timeout_s):
-        if self.lose:
-            self.lose -= 1
+        if self.lose or self.random.random() < self.loss:
+            self.lose = max(0, self.lose - 1)
             self._clock.sleep(timeout_s)
             raise TimeoutError
         self._clock.sleep(ONE_WAY_S)
@@ -208,6 +212,11 @@
         now = self.clock.monotonic()
         return {str(u.id) for u in self.state.list_upstreams(ENGINES, now)}
 
+    def describe(self):
+        """Return the configuration, upstreams and withdrawn zones in force."""
+        zones = {str(zone) for zone in self.state.get_withdrawn_zones()}
+        return self.get_version(), self.list_upstreams(), zones
+
     def get_version(self):
         """Return the version of the configuration in force, 0 for none."""
         table = self.state.get_table()
@@ -261,6 +270,22 @@
         }
         return self.store.put(UPSTREAM_KEY, json.dumps(entry).encode())
 
+    def delete_upstream(self):
+        """Delete the entry of the upstream."""
+        self.store.put(UPSTREAM_KEY, None)
+
+    def describe_store(self):
+        """Return what every instance should have in force."""
+        current = {c.key: c.value for c in self.store.list_current("")}
+        entry = json.loads(current.get(UPSTREAM_KEY, b"{}"))
+        upstreams = {"u1"} if entry.get("state") == "ready" else set()
+        zones = {
+            key.removeprefix(WITHDRAWN_PREFIX)
+            for key in current
+            if key.startswith(WITHDRAWN_PREFIX)
+        }
+        return self._version, upstreams, zones
+
     def run(self, seconds):
         """Let the time pass."""
         self.time.run(seconds)
--- a/tests/gateway/test_late_configuration.py
+++ b/tests/gateway/test_late_configuration.py
@@ -2,12 +2,15 @@
 
 import unittest
 
+from tests.gateway.random_store import RandomRun
 from tests.gateway.store_fleet import StoreFleet
 
 # Time in which a configuration must be in force, of the small deployments.
 APPLY_S = 2.0
 SETTLED_S = 3.0
 ATTEMPTS_PER_CALL = 2
+# Seeds of the drawn runs; ``python -m tests.gateway.random_store`` runs others.
+SEEDS = range(1, 9)
 
 
 class FleetTest(unittest.TestCase):
@@ -65,5 +68,14 @@
                 self.check_in_force(fleet)
 
 
+class RandomRunTest(unittest.TestCase):
+    """Guards against changes that are late, lost or undone where faults overlap."""
+
+    def test_listed_seeds(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(RandomRun(seed).run(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
