Count one attempt for all spoiled values of a key in one answer

Nine spoiled values of one key in one answer counted as nine attempts, so that the key was not read again.

Change: the entry that was applied last decides for its key, once an answer.

--- a/src/fescueflow/gateway/entries.py
+++ b/src/fescueflow/gateway/entries.py
@@ -29,24 +29,31 @@
         self._handlers = handlers
         self._revisions: OrderedDict[str, Revision] = OrderedDict()
 
-    def apply(self, items: Iterable[StoreItem]) -> list[str]:
-        """Apply items that are newer than what is known; return unreadable keys."""
-        unreadable = []
+    def apply(self, items: Iterable[StoreItem]) -> dict[str, bool]:
+        """Apply items that are newer than what is known.
+
+        Returns
+        -------
+        dict of str to bool
+            Whether the last item that was applied of each key was readable.
+        """
+        readable = {}
         for item in filter(self._is_newer, items):
             self._remember(item.key, item.revision)
+            readable[item.key] = True
             for handler in self._handlers:
                 if item.key.startswith(handler.prefix):
                     try:
                         handler.apply(item)
-                    except UnreadableEntries as error:
-                        unreadable += error.keys
+                    except UnreadableEntries:
+                        readable[item.key] = False
                         # The same revision is accepted when it is read again.
                         self._remember(item.key, Revision(item.revision - 1))
-        return unreadable
+        return readable
 
-    def replace_all(self, items: Sequence[StoreItem]) -> list[str]:
-        """Apply a complete read; return unreadable keys."""
-        unreadable = []
+    def replace_all(self, items: Sequence[StoreItem]) -> dict[str, bool]:
+        """Apply a complete read; return whether the entry of each key was readable."""
+        readable = dict.fromkeys((item.key for item in items), True)
         self._revisions.clear()
         for item in items:
             self._remember(item.key, item.revision)
@@ -55,10 +62,10 @@
             try:
                 handler.replace_all(i for i in items if i.key.startswith(prefix))
             except UnreadableEntries as error:
-                unreadable += error.keys
-        for key in unreadable:
-            self._revisions.pop(key, None)
-        return unreadable
+                for key in error.keys:
+                    readable[key] = False
+                    self._revisions.pop(key, None)
+        return readable
 
     def _is_newer(self, item: StoreItem) -> bool:
         return not item.revision or item.revision > self._revisions.get(item.key, 0)
--- a/src/fescueflow/gateway/missing.py
+++ b/src/fescueflow/gateway/missing.py
@@ -98,11 +98,6 @@
         """Clear the note of an entry that could not be decoded."""
         self._unreadable.pop(key, None)
 
-    def retain_unreadable(self, keys: Iterable[str]) -> None:
-        """Forget unreadable entries that a complete read does not have."""
-        kept = frozenset(keys)
-        self._unreadable = {k: v for k, v in self._unreadable.items() if k in kept}
-
     def list_due(self, now: float) -> list[str]:
         """Return the unreadable entries to read again by now."""
         return sorted(
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import logbook
 
@@ -371,22 +371,24 @@
         if after is not None:
             self._apply([i for i in result.items if i.revision or not is_older])
         elif not is_older:
-            self._note_unreadable(self._writer.replace_all(result.items))
+            self._note_readable(self._writer.replace_all(result.items))
             self._missing.resolve_all(result.revision)
         if not is_older:
             self._revision = result.revision
 
     def _apply(self, items: Sequence[StoreItem]) -> None:
-        unreadable = self._writer.apply(items)
+        readable = self._writer.apply(items)
         for item in items:
             self._missing.resolve_key(item.key, item.revision)
-            if item.key not in unreadable:
-                self._missing.record_readable(item.key)
-        self._note_unreadable(unreadable)
+        self._note_readable(readable)
 
-    def _note_unreadable(self, keys: Iterable[str]) -> None:
-        for key in keys:
-            self._missing.record_unreadable(key, self._clock.monotonic())
+    def _note_readable(self, readable: Mapping[str, bool]) -> None:
+        now = self._clock.monotonic()
+        for key, is_readable in readable.items():
+            if is_readable:
+                self._missing.record_readable(key)
+            else:
+                self._missing.record_unreadable(key, now)
 
     def _record_failure(self, error: PlatformUnavailable) -> None:
         self._metrics.count("store_failures")
--- a/tests/gateway/test_overtaken_answers.py
+++ b/tests/gateway/test_overtaken_answers.py
@@ -112,6 +112,16 @@
         for instance in self.fleet.instances:
             self.assertEqual(instance.list_upstreams(), {"u1"})
 
+    def test_spoiled_series(self):
+        """Guards against attempts that one answer with many spoiled values uses up."""
+        follower = self.fleet.list_followers()[0]
+        self.fleet.cut.add(follower.host)
+        for _ in range(8):
+            version = self.fleet.put_configuration(200)
+        self.spoil_once(follower, TABLE_KEY)
+        self.fleet.run(2 * APPLY_S)
+        self.assertEqual(follower.get_version(), version)
+
     def test_entry_that_stays_unreadable(self):
         """Guards against reading an odd entry of another writer again and again."""
         self.fleet.store.put(UPSTREAM_KEY, b"[[")
