Take a state for current as of its call, not as of the arrival of the answer

What callers could see: a refusal for good (401, 404) by a state that counted as current although a change of more than a second before was not in it, where the answer had taken long to arrive at this instance or at the one that told it.

Cause: the age of the state began when the answer of the store arrived. What it describes is older by the time that it was on its way, and other instances were told this age.

Change: a call that returns changes, and a complete read, are current as of their start; a call without changes as of the end of the store's wait.

--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -296,9 +296,9 @@
         if behind > HISTORY_CHANGES_MAX or age_s >= HISTORY_AGE_MAX_S:
             revision = None
         noted = self._missing.announced
-        result = self._call(revision)
+        result, current_at = self._call(revision)
         with self._lock:
-            self._contact.record_response(self._clock.monotonic())
+            self._contact.record_response(max(current_at, self._contact.responded_at))
             self._record_success()
             self._accept_result(result, revision)
             if self._missing.settle(noted, result.revision):
@@ -309,13 +309,25 @@
         if self._relay is not None:
             self._publish(result, revision, is_fetch)
 
-    def _call(self, revision: Revision | None) -> StoreResult:
-        """Read all, or wait for the changes after a revision."""
+    def _call(self, revision: Revision | None) -> tuple[StoreResult, float]:
+        """Read all, or wait for the changes after a revision.
+
+        Returns
+        -------
+        result : StoreResult
+        current_at : float
+            Time as of which the result is current. It may have been on its way for
+            long: without changes, the store has waited, otherwise only the start of
+            the call is certain.
+        """
+        started_at = self._clock.monotonic()
         self._metrics.count("store_calls", kind="read" if revision is None else "watch")
         if revision is None:
-            return self._client.read(ALL_PREFIXES)
+            return self._client.read(ALL_PREFIXES), started_at
         wait_s = CHECK_TIMEOUT_S if self._is_follower() else WATCH_TIMEOUT_S
-        return self._client.watch(ALL_PREFIXES, revision, wait_s)
+        result = self._client.watch(ALL_PREFIXES, revision, wait_s)
+        waited_s = 0.0 if result.items else wait_s
+        return result, min(started_at + waited_s, self._clock.monotonic())
 
     def _fetch(self, keys: Iterable[str]) -> None:
         """Read the last values of keys that updates did not include.
