Ignore the loads of a report that arrives after a later one

What callers could see: requests placed by loads that had ended.

Cause: the loads of an instance were replaced by those of any report, although reports carry a sequence number, which its record is merged by.

Evidence: OvertakenReportTest failed before (a load of 1 from the older report).

--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -141,6 +141,9 @@
         """
         now = self._clock.monotonic()
         report = decode_report(data, now)
+        sender = report.records[0]
+        known = self._peers.find(sender.instance)
+        is_outdated = known is not None and known.version > sender.version
         for record in report.records:
             if self._peers.merge(record):
                 log.info(
@@ -149,11 +152,11 @@
                 )
                 self._has_new_peer = True
                 self._selector.announce_all_holders()
-        sender = report.records[0].instance
-        self._loads.set_peer_loads(sender, report.loads, now)
+        if not is_outdated:
+            self._loads.set_peer_loads(sender.instance, report.loads, now)
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
-        crashed = self._quarantine.merge(report.quarantine, sender)
+        crashed = self._quarantine.merge(report.quarantine, sender.instance)
         self._selector.mark_crashed(crashed)
 
 
--- a/tests/gateway/test_imbalance.py
+++ b/tests/gateway/test_imbalance.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from functools import partial
 
-from fescueflow.core import UpstreamId
+from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.routing import Prompt
 from fescueflow.routing.health import FAILURES_MAX
 from tests.fakes import FakeClock
@@ -76,5 +76,25 @@
         self.assertGreaterEqual(select().bound.mean, 8.0)
 
 
+class OvertakenReportTest(unittest.TestCase):
+    """Guards against loads of a report that arrives after a later one."""
+
+    def test_older_report_arrives_last(self):
+        clock = FakeClock()
+        name = UpstreamId("u0")
+        names = [InstanceId(f"edge-{n}") for n in range(2)]
+        sender, receiver = (
+            Instance(n, names, [make_upstream(name)], clock, 1) for n in range(2)
+        )
+        request = sender.loads.start(name, ENGINES, 0, clock.monotonic())
+        _, busy = sender.report(is_named=False)
+        request.end()
+        _, idle = sender.report(is_named=False)
+        for data in (idle, busy):
+            receiver.reporter.handle_report(data)
+        loads = receiver.loads.estimate_loads([name], ENGINES, clock.monotonic())
+        self.assertEqual(loads[name].running, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
