Read all again if an update told a revision that does not exist

What callers could see: an instance that never heard of a change any more, after one malformed update whose revision was far ahead.

Cause: an instance that had taken over such a revision dropped all answers as older, and all updates too.

Change: the store never goes back, so an answer that is older than what the instance had reached before the call shows it; everything is read again. Revisions of items that are negative or above the update's are refused.

Evidence: test_malformed_update_that_is_far_ahead failed before.

--- a/src/fescueflow/gateway/relay.py
+++ b/src/fescueflow/gateway/relay.py
@@ -145,7 +145,7 @@
         if not decompressor.eof:
             raise ValueError("the update is truncated or too large")
         sender, zone, role, base, revision, age_s, items, omitted = json.loads(text)
-        return StoreUpdate(
+        update = StoreUpdate(
             InstanceId(str(sender)),
             ZoneId(str(zone)),
             Role(role),
@@ -155,6 +155,9 @@
             None if items is None else tuple(map(decode_item, items)),
             tuple(str(key) for key in omitted),
         )
+        if any(not 0 <= i.revision <= update.revision for i in update.items or ()):
+            raise ValueError("an item's revision is out of range")
+        return update
     except (
         ArithmeticError,
         AttributeError,
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -18,6 +18,7 @@
 from fescueflow.gateway.entries import EntryWriter
 from fescueflow.gateway.missing import MissingChanges
 from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.publication import UpdatePublisher
 from fescueflow.gateway.relay import (
     FETCH_DELAY_MAX_S,
     FETCH_DELAY_MIN_S,
@@ -105,6 +106,7 @@
         self._pauses = CallPauses(random_source)
         self._contact = StoreContact(platform_state, heartbeat_s, clock.monotonic())
         self._relay = relay
+        self._publisher = UpdatePublisher(relay) if relay is not None else None
         # Guards the revision and the state's changes against those of updates.
         self._lock = threading.RLock()
         self._missing = MissingChanges()
@@ -135,9 +137,8 @@
     def is_current(self) -> bool:
         """Return whether the state is new and lacks no change that is known of."""
         with self._lock:
-            age_s = self._clock.monotonic() - self._contact.responded_at
             is_complete = self._missing.is_complete(self._revision)
-            return is_complete and age_s <= CURRENT_AGE_MAX_S
+            return is_complete and self._get_age() <= CURRENT_AGE_MAX_S
 
     def is_reachable(self) -> bool:
         """Return whether the last call of the store succeeded."""
@@ -153,7 +154,7 @@
 
     def handle_update(self, update: StoreUpdate) -> None:
         """Apply what another instance has read, if it continues the own state."""
-        if self._relay is None:
+        if self._relay is None or self._publisher is None:
             return
         self._relay.record_sender(update)
         with self._lock:
@@ -175,7 +176,9 @@
                 self._apply_update(update)
             self._mark_current()
         if gained_s >= FORWARDED_GAIN_MIN_S or has_advanced:
-            self._forward_to_zone(update, has_advanced)
+            self._publisher.forward(
+                update, self._get_age(), has_advanced, not self.is_reachable()
+            )
 
     def _apply_update(self, update: StoreUpdate) -> None:
         self._apply(update.items or ())
@@ -186,26 +189,6 @@
             self._is_behind.set()
         log_changes("update", update.revision, update.items, update.omitted)
 
-    def _forward_to_zone(self, update: StoreUpdate, has_advanced: bool) -> None:
-        """Pass on an update of another zone if the own zone may not hear it otherwise.
-
-        Notes
-        -----
-        A reader passes on changes that its own next call will not return any more. The
-        instance takes over from a silent reader, whose followers would not read for
-        themselves as long as updates of other zones reach them.
-        """
-        assert self._relay is not None
-        if not self._relay.is_from_other_zone(update):
-            return
-        is_silent = self._relay.is_zone_silent() and self._relay.take_over()
-        is_reader = self._relay.role is Role.READER
-        if self._pauses.failures or is_silent or (is_reader and has_advanced):
-            age_s = self._clock.monotonic() - self._contact.responded_at
-            self._relay.publish(
-                update.base, update.revision, age_s, update.items, update.omitted
-            )
-
     def run_once(self) -> None:
         """Make one call and apply its result; wait before the next if it fails.
 
@@ -275,6 +258,10 @@
     def _misses_changes(self) -> bool:
         return self._missing.has_any(self._revision)
 
+    def _get_age(self) -> float:
+        """Return the age of the state in seconds."""
+        return self._clock.monotonic() - self._contact.responded_at
+
     def _get_remaining_s(self) -> float:
         """Return the time until this follower reads for itself."""
         now = self._clock.monotonic()
@@ -292,11 +279,16 @@
                 self._fetch(keys)
                 return
         is_fetch = self._misses_changes()
-        age_s = now - self._contact.responded_at
+        age_s = self._get_age()
         if behind > HISTORY_CHANGES_MAX or age_s >= HISTORY_AGE_MAX_S:
             revision = None
-        noted = self._missing.announced
+        noted, reached = self._missing.announced, self._revision
         result, current_at = self._call(revision)
+        if reached is not None and result.revision < reached:
+            # The store never goes back: an update has told a revision that is none.
+            log.warning("revision {} does not exist, all is read again", reached)
+            self._revision = None
+            return
         with self._lock:
             self._contact.record_response(max(current_at, self._contact.responded_at))
             self._record_success()
@@ -306,8 +298,9 @@
             self._mark_current()
         source = "read" if revision is None else "watch"
         log_changes(source, result.revision, result.items)
-        if self._relay is not None:
-            self._publish(result, revision, is_fetch)
+        if self._relay is not None and self._publisher is not None:
+            self._read_delay_s = self._relay.draw_read_delay()
+            self._publisher.publish(result, revision, self._get_age(), is_fetch)
 
     def _call(self, revision: Revision | None) -> tuple[StoreResult, float]:
         """Read all, or wait for the changes after a revision.
@@ -355,22 +348,6 @@
         if self._missing.is_complete(self._revision):
             self._platform_state.mark_current(self._contact.responded_at)
 
-    def _publish(
-        self, result: StoreResult, revision: Revision | None, is_fetch: bool
-    ) -> None:
-        """Tell the others what was read, unless a reader has told it already."""
-        assert self._relay is not None
-        self._read_delay_s = self._relay.draw_read_delay()
-        is_reader = self._relay.take_over()
-        if not is_reader and (is_fetch or not self._relay.is_reader_quiet()):
-            return
-        self._relay.publish(
-            base=result.revision if revision is None else revision,
-            revision=result.revision,
-            age_s=self._clock.monotonic() - self._contact.responded_at,
-            items=None if revision is None else result.items,
-        )
-
     def _record_success(self) -> None:
         self._pauses.record_success()
         self._was_hurried = False
@@ -419,8 +396,7 @@
         self._wait_as_follower(pause_s)
 
     def _log_failure(self, error: PlatformUnavailable, pause_s: float) -> None:
-        age_s = self._clock.monotonic() - self._contact.responded_at
-        log_failed_call(error, pause_s, self._missing, self._revision, age_s)
+        log_failed_call(error, pause_s, self._missing, self._revision, self._get_age())
 
 
 __all__ = [
--- a/tests/gateway/test_overtaken_answers.py
+++ b/tests/gateway/test_overtaken_answers.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from fescueflow.gateway.relay import FETCH_DELAY_MAX_S
+from fescueflow.core import InstanceId, Revision, ZoneId
+from fescueflow.gateway.relay import FETCH_DELAY_MAX_S, Role, StoreUpdate
 from fescueflow.platform import TABLE_KEY, StoreItem
 from tests.gateway.store_fleet import UPSTREAM_KEY
 from tests.gateway.test_late_configuration import APPLY_S, FleetTest
@@ -80,6 +81,23 @@
         self.assertLess(self.client.calls, 10)
         self.check_in_force(self.fleet)
 
+    def test_malformed_update_that_is_far_ahead(self):
+        """Guards against an instance that never hears of a change any more."""
+        watcher = self.follower.watcher
+        revision = watcher.revision
+        watcher.handle_update(
+            StoreUpdate(
+                sender=InstanceId("edge-b-9"),
+                zone=ZoneId("b"),
+                role=Role.FOLLOWER,
+                base=revision,
+                revision=Revision(revision + 10**9),
+                age_s=0.0,
+            )
+        )
+        self.fleet.run(APPLY_S)
+        self.check_in_force(self.fleet)
+
 
 class SpoiledEntryTest(FleetTest):
     """Guards against an entry that is never read again after it arrived spoiled."""
