Log why a failed request gets no further attempt

Change: a line 'no further attempt' with what denied it; 'stream broken' tells the attempt and the events delivered. Result: tests.gateway.test_request_logs and test_broken_streams pass; no decision changes.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
+    log_no_retry,
     log_selection,
     log_stream_end,
 )
@@ -45,6 +46,7 @@
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     AttemptFailure,
+    RetryDenial,
     RouteKind,
     choose_service,
     may_retry,
@@ -360,10 +362,12 @@
         if now >= context.deadline:
             raise DeadlineExceeded("the deadline passed")
         if not may_retry(context.route, kind, context.attempts_sent):
+            log_no_retry(context, RetryDenial.ROUTE)
             raise make_error(failure)
         if kind is not AttemptFailure.NOT_SENT and not self._selector.take_retry(
             context.service
         ):
+            log_no_retry(context, RetryDenial.BUDGET)
             raise make_error(failure)
 
     def _break_stream(self, context: RequestContext, reason: str) -> StreamBroken:
--- a/src/fescueflow/gateway/request_logs.py
+++ b/src/fescueflow/gateway/request_logs.py
@@ -7,7 +7,7 @@
 from fescueflow.gateway.requests import CallerRequest, RequestContext
 from fescueflow.gateway.selection import Selection
 from fescueflow.gateway.streams import RelayTimes
-from fescueflow.routing import RoutingTable, Upstream
+from fescueflow.routing import RetryDenial, RoutingTable, Upstream
 
 # Prompt parts in one line; callers may name any number.
 LOGGED_PARTS_MAX = 8
@@ -89,6 +89,20 @@
     )
 
 
+def log_no_retry(context: RequestContext, denial: RetryDenial) -> None:
+    """Log why a request gets no further attempt."""
+    log.warning(
+        "no further attempt",
+        extra={
+            "id": context.request.headers.attempt_id,
+            "service": str(context.service),
+            "denied_by": denial.value,
+            "attempt": context.attempts_sent,
+            "events": context.event_count,
+        },
+    )
+
+
 def log_stream_end(context: RequestContext, times: RelayTimes, now: float) -> None:
     """Log the complete end of a stream and its longest pauses."""
     log.info(
@@ -112,6 +126,8 @@
             "id": context.request.headers.attempt_id,
             "upstream": str(context.upstream.id) if context.upstream else None,
             "why": reason,
+            "attempt": context.attempts_sent,
+            "events": context.event_count,
         },
     )
 
@@ -141,6 +157,7 @@
     "list_parts",
     "log_broken_stream",
     "log_failure",
+    "log_no_retry",
     "log_refusal",
     "log_selection",
     "log_stream_end",
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -70,7 +70,12 @@
     blend_reports,
     correct_running,
 )
-from fescueflow.routing.retries import AttemptFailure, RetryBudget, may_retry
+from fescueflow.routing.retries import (
+    AttemptFailure,
+    RetryBudget,
+    RetryDenial,
+    may_retry,
+)
 from fescueflow.routing.selection import choose_service, find_customer, find_route
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
@@ -108,6 +113,7 @@
     "Prompt",
     "Quarantine",
     "RetryBudget",
+    "RetryDenial",
     "Route",
     "RouteId",
     "RouteKind",
--- a/src/fescueflow/routing/retries.py
+++ b/src/fescueflow/routing/retries.py
@@ -30,6 +30,13 @@
         return self not in NOT_RUN_FAILURES
 
 
+class RetryDenial(Enum):
+    """Reason why a failed request gets no further attempt."""
+
+    ROUTE = "route"
+    BUDGET = "budget"
+
+
 def may_retry(route: Route, failure: AttemptFailure, attempts_sent: int) -> bool:
     """Return whether the route allows another attempt.
 
@@ -98,4 +105,4 @@
         return entries
 
 
-__all__ = ["AttemptFailure", "RetryBudget", "may_retry"]
+__all__ = ["AttemptFailure", "RetryBudget", "RetryDenial", "may_retry"]
