Keep a silent attempt until its replacement has begun

What callers saw: streams that ended in the middle with a closed connection, and 502, in clumps: all requests at one upstream that wrote nothing for 1.5 s or more while the other upstreams were full or the retry budget was used up. Cause: break before make. A timeout of 1.5 s closed the connection to an upstream that may go on, and only then was a replacement looked for: a budget, an upstream, room there. Callers wait for twice as long. Change: AttemptDispatcher (gateway/dispatch.py) opens all attempts. A silent one stays open while its replacement is awaited; the one that responds first goes on and the other is ended. A refused replacement costs the request nothing. When to look for one is a decision of its own (routing/silence.py): a stream at an upstream that takes connections is awaited until callers would soon leave (the longest of 2 s, four latency objectives and eight pauses, less 0.4 s), since it may be working on; one at an upstream that can't be reached, or that answers others while this request has not begun, is replaced at the first look, as before. Lookups are replaced as early as before, but not given up either. Why it works: nothing that may be sound is ended before a response of its replacement has arrived. The first upstream is left at that moment, so that two work on one stream for a round trip.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Single attempts of a request at an upstream."""
 
+import math
 from collections.abc import Callable, Iterator
 
 import logbook
@@ -38,6 +39,9 @@
 ESTIMATE_TOLERANCE_REQUESTS = 3.0
 
 UNAVAILABLE_STATUS = 503
+# Age of the latest data of an upstream that is not silent: more than the longest pause
+# between events for which streams are on time.
+ACTIVE_AGE_S = 0.5
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
@@ -77,6 +81,13 @@
         self._client = client
         self._deadline = deadline
         self._ended = False
+        self.is_silent = False
+
+    def mark_silent(self) -> None:
+        """Note that the upstream is silent, so that others are preferred."""
+        if not self.is_silent:
+            self.is_silent = True
+            self._client.record_silence(self)
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send the request."""
@@ -122,10 +133,10 @@
             self._client.record_reported_load(self, attempt_id, reported_running)
 
     def iterate_parts(
-        self, deadline: float, read_timeout_s: float | None = None
+        self, deadline: float, get_limit: Callable[[], float] | None = None
     ) -> Iterator[bytes]:
-        """Yield the body as it arrives."""
-        return self.exchange.iterate_parts(deadline, read_timeout_s)
+        """Yield the body as it arrives, as ``Exchange.iterate_parts`` does."""
+        return self.exchange.iterate_parts(deadline, get_limit)
 
     def check_end(self) -> None:
         """Check that a body whose end nothing marks was not cut by a crash.
@@ -143,10 +154,6 @@
         if self._client.is_down(upstream, CRASH_CONFIRM_S):
             raise ConnectionLost("the upstream crashed at an unmarked end")
 
-    def mark_progress(self) -> None:
-        """Note that a stream has made progress."""
-        self.exchange.mark_progress()
-
     def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
         """Return the whole body; its bytes are counted by the buffer."""
         body = self.exchange.read_body(deadline, buffer)
@@ -226,6 +233,8 @@
     ) -> None:
         self._quarantine = quarantine
         self._next_check_at = clock.monotonic()
+        # When data of each upstream arrived last.
+        self._active_at: dict[UpstreamId, float] = {}
         self._pool = pool
         self._selector = selector
         self._loads = loads
@@ -356,7 +365,19 @@
 
     def record_alive(self, attempt: Attempt) -> None:
         """Record that data of the upstream has arrived."""
-        self._quarantine.record_alive(attempt.selection.upstream)
+        upstream = attempt.selection.upstream
+        self._active_at[upstream.id] = self._clock.monotonic()
+        self._quarantine.record_alive(upstream)
+
+    def is_active(self, upstream: Upstream) -> bool:
+        """Return whether the upstream has answered any request just now."""
+        active_at = self._active_at.get(upstream.id, -math.inf)
+        return self._clock.monotonic() - active_at < ACTIVE_AGE_S
+
+    def retain(self, kept: set[UpstreamId]) -> None:
+        """Forget all upstreams that are not in ``kept``."""
+        for upstream in self._active_at.keys() - kept:
+            del self._active_at[upstream]
 
     def check_survivors(self) -> None:
         """Find out which upstreams have survived their latest answers.
@@ -389,12 +410,18 @@
             attempt.selection.upstream.service, attempt.prompt.shared_parts
         )
 
+    def record_silence(self, attempt: Attempt) -> None:
+        """Record the first silence of an attempt."""
+        self._record_unhealthy(attempt.selection.upstream.id)
+
     def record_failure(self, attempt: Attempt, failure: ExchangeFailed) -> None:
         """Record a failed attempt."""
         upstream = attempt.selection.upstream.id
         if failure.kind is AttemptFailure.MISDIRECTED:
             self._selector.mark_replaced(upstream)
             log.warning("upstream replaced", extra={"upstream": str(upstream)})
+        elif failure.kind is AttemptFailure.TIMED_OUT and attempt.is_silent:
+            log.debug("silence of {} recorded before", upstream)
         elif failure.kind is not AttemptFailure.REFUSED:
             self._record_unhealthy(upstream)
         if isinstance(failure, ConnectionLost):
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -3,6 +3,7 @@
 import http.client
 import re
 import select
+import socket
 from collections.abc import Callable, Iterator
 
 from fescueflow.core import Clock, FescueflowError, InvalidRequest
@@ -41,6 +42,10 @@
         super().__init__(AttemptFailure.BROKEN, reason)
 
 
+class OtherResponded(FescueflowError):
+    """The connection that is watched beside the exchange has data, or has ended."""
+
+
 class BufferSocket:
     """Socket substitute that collects the data sent."""
 
@@ -107,7 +112,8 @@
         self._caller_checked_at = clock.monotonic()
         # When a deadline was found to have passed while data still arrived.
         self._overrun_since: float | None = None
-        self._progress_at = self._caller_checked_at
+        self._watched: Exchange | None = None
+        self._head_reader: HeadReader | None = None
         # Bytes of the body that arrived with the head.
         self._early_body = b""
         self._is_request_sent = False
@@ -159,7 +165,10 @@
         Raises
         ------
         ExchangeFailed
-            If the head is late, malformed or for another request.
+            If the head is late, malformed or for another request. After one that is
+            late, the call can be repeated.
+        OtherResponded
+            If data arrives on the watched exchange.
         CallerDisconnected
             If the caller disconnects.
         """
@@ -187,35 +196,61 @@
         """Return a header of the response."""
         return self._response.getheader(name) if self._response else None
 
+    def watch(self, other: "Exchange") -> None:
+        """Also wait for data of another exchange, until ``unwatch`` is called."""
+        self._watched = other
+        self._poll.register(other._socket, select.POLLIN)
+
+    def unwatch(self) -> None:
+        """Wait for data of this exchange only; called before the other is closed."""
+        if self._watched is not None:
+            self._poll.unregister(self._watched._socket)
+            self._watched = None
+
+    def is_cut(self) -> bool:
+        """Return whether the connection has ended before the end of the response.
+
+        Notes
+        -----
+        The end of a connection may be that of a body without a length or chunks.
+        """
+        try:
+            if self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return False
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        has_length = self._decoder is not None or self._remaining_bytes is not None
+        return self._response is None or has_length
+
     def iterate_parts(
-        self, deadline: float, read_timeout_s: float | None = None
+        self, deadline: float, get_limit: Callable[[], float] | None = None
     ) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
         Parameters
         ----------
         deadline : float
-        read_timeout_s : float, optional
-            Longest time without progress, which ``mark_progress`` reports. Data alone
-            is none: a stalled stream may send a byte now and then.
+        get_limit : callable, optional
+            Returns the time until which the next data is awaited, if that is earlier
+            than the deadline.
 
         Raises
         ------
         ExchangeFailed
-            If the body ends early or no data arrives in time.
+            If the body ends early or no data arrives in time. After data that is late,
+            the call can be repeated.
         CallerDisconnected
             If the caller disconnects.
         """
         if self._response is None:
             raise ExchangeFailed(AttemptFailure.BROKEN, "no response head")
-        self.mark_progress()
         early_body, self._early_body = self._early_body, b""
         if early_body:
             yield from self._decode(early_body)
         while not self.is_complete:
-            limit = deadline
-            if read_timeout_s is not None:
-                limit = min(deadline, self._progress_at + read_timeout_s)
+            limit = deadline if get_limit is None else min(deadline, get_limit())
             data = self._receive(limit)
             if data:
                 yield from self._decode(data)
@@ -224,10 +259,6 @@
             else:
                 raise ConnectionLost("the body is cut")
 
-    def mark_progress(self) -> None:
-        """Note that the body has grown by something complete, or that it was paused."""
-        self._progress_at = self._clock.monotonic()
-
     def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
         """Return the whole body; its bytes are counted by the buffer."""
         parts: list[bytes] = []
@@ -270,7 +301,9 @@
         return reusable, float(found[1]) if found else None
 
     def _receive_head(self, deadline: float) -> http.client.HTTPResponse:
-        reader = HeadReader(self.method)
+        if self._head_reader is None:
+            self._head_reader = HeadReader(self.method)
+        reader = self._head_reader
         while True:
             data = self._receive(deadline)
             if not data:
@@ -326,6 +359,8 @@
         ------
         ExchangeFailed
             If the deadline has passed.
+        OtherResponded
+            If data arrives on the watched exchange.
         CallerDisconnected
             If the caller disconnects.
         """
@@ -339,9 +374,12 @@
                 self._overrun_since = None
             elif self._overrun_since is None:
                 self._overrun_since = now
-            if self._poll.poll(
+            ready = self._poll.poll(
                 max(0.0, min(CALLER_CHECK_INTERVAL_S, remaining_s)) * 1000
-            ):
+            )
+            if ready:
+                if any(descriptor != self._socket.fileno() for descriptor, _ in ready):
+                    raise OtherResponded("the watched exchange goes on")
                 if (
                     self._overrun_since is not None
                     and now - self._overrun_since >= OVERRUN_MAX_S
@@ -362,4 +400,10 @@
             raise ExchangeFailed(AttemptFailure.TIMED_OUT, "no byte in time")
 
 
-__all__ = ["ConnectionLost", "Exchange", "ExchangeFailed", "render_request"]
+__all__ = [
+    "ConnectionLost",
+    "Exchange",
+    "ExchangeFailed",
+    "OtherResponded",
+    "render_request",
+]
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -1,26 +1,24 @@
 """Forwarding of requests to upstreams, with retries and resumed streams."""
 
 from collections.abc import Iterator
-from functools import partial
 
 from fescueflow.core import (
     BodyTooLarge,
     Clock,
-    DeadlineExceeded,
-    PromptQuarantined,
     RequestError,
 )
-from fescueflow.gateway.attempts import Attempt, AttemptClient
+from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
-from fescueflow.gateway.errors import adjust_error, make_error
+from fescueflow.gateway.dispatch import (
+    CONTENT_TYPE,
+    SERVER_ERROR_MIN,
+    AttemptDispatcher,
+)
+from fescueflow.gateway.errors import adjust_error
 from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
-from fescueflow.gateway.platform_state import PlatformState
-from fescueflow.gateway.quarantine import Admission, PromptQuarantine
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
-    log_no_retry,
-    log_selection,
     log_stream_end,
 )
 from fescueflow.gateway.requests import (
@@ -40,39 +38,24 @@
     record_times,
 )
 from fescueflow.platform import (
-    make_upstream_headers,
     select_response_headers,
 )
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     AttemptFailure,
-    RetryDenial,
     RouteKind,
     choose_service,
-    may_retry,
 )
 
-# Longest wait for the first byte if the request may be retried elsewhere: this many
-# latency objectives, within the two limits. The upper one is less than half of the
-# shortest gap after which callers abandon a stream.
-READ_TIMEOUT_OBJECTIVES = 2.5
-READ_TIMEOUT_MIN_S = 0.3
-READ_TIMEOUT_MAX_S = 1.5
-CONTENT_TYPE = "Content-Type"
-# Lowest status that reports a failure of the upstream rather than of the request.
-SERVER_ERROR_MIN = 500
-
 
 class Forwarder:
     """Forwards callers' requests to upstreams.
 
     Parameters
     ----------
-    platform_state : PlatformState
     selector : UpstreamSelector
-    client : AttemptClient
+    dispatcher : AttemptDispatcher
     clock : Clock
-    quarantine : PromptQuarantine
     buffers : AnswerBuffers
     lookup : RouteLookup
     """
@@ -80,20 +63,16 @@
     def __init__(
         self,
         *,
-        platform_state: PlatformState,
         selector: UpstreamSelector,
-        client: AttemptClient,
+        dispatcher: AttemptDispatcher,
         clock: Clock,
-        quarantine: PromptQuarantine,
         buffers: AnswerBuffers,
         lookup: RouteLookup,
     ) -> None:
         self._lookup = lookup
-        self._quarantine = quarantine
         self._buffers = buffers
-        self._platform_state = platform_state
         self._selector = selector
-        self._client = client
+        self._dispatcher = dispatcher
         self._clock = clock
 
     def forward(self, request: CallerRequest) -> Response:
@@ -124,19 +103,18 @@
         RequestError
             If the request must not be retried.
         """
-        attempt = None
+        context.attempt = None
         try:
-            attempt = self._start_attempt(context)
+            attempt = self._dispatcher.start(context)
             return self._read_response(context, attempt)
         except ExchangeFailed as failure:
-            if attempt is not None:
-                attempt.fail(failure)
+            if context.attempt is not None:
+                context.attempt.fail(failure)
             log_failure(context, failure, self._clock)
-            self._check_retry(context, failure)
+            self._dispatcher.check_retry(context, failure)
             return None
         except RequestError:
-            if attempt is not None:
-                attempt.cancel()
+            context.cancel()
             raise
 
     def _create_context(self, request: CallerRequest) -> RequestContext:
@@ -159,79 +137,6 @@
             deadline=request.received_at + limit_s,
         )
 
-    def _start_attempt(
-        self, context: RequestContext, last_event: str | None = None
-    ) -> Attempt:
-        """Select an upstream, send the request and read the response head."""
-        request, now = context.request, self._clock.monotonic()
-        if now >= context.deadline:
-            raise DeadlineExceeded("the deadline passed")
-        prompt = context.prompt
-        self._client.check_survivors()
-        admission = self._quarantine.admit(context.service, prompt)
-        selection = self._selector.select(
-            context.service,
-            prompt,
-            context.tried,
-            context.deadline - now,
-            admission.isolation_key,
-        )
-        context.tried.add(selection.upstream.id)
-        context.upstream = selection.upstream
-        context.is_waiting = True
-        log_selection(
-            context,
-            selection,
-            self._platform_state.get_table(),
-            self._platform_state.get_age(now),
-            now,
-        )
-        headers = make_upstream_headers(
-            request.headers,
-            upstream=selection.upstream.id,
-            customer=context.customer,
-            remaining_s=context.deadline - now,
-            priority=context.priority,
-            last_event=last_event,
-            copy_from=selection.source.address if selection.source else None,
-        )
-        attempt = self._client.connect(
-            selection,
-            prompt,
-            context.deadline,
-            partial(self._check_waiting, context, admission),
-        )
-        try:
-            context.attempts_sent += 1
-            attempt.send(request.method, request.target, headers, request.body)
-            attempt.read_head(
-                self._get_first_byte_deadline(context), request.headers.attempt_id
-            )
-        except ExchangeFailed as failure:
-            attempt.fail(failure)
-            raise
-        except RequestError:
-            attempt.cancel()
-            raise
-        return attempt
-
-    def _check_waiting(self, context: RequestContext, admission: Admission) -> bool:
-        """Return whether the caller has disconnected.
-
-        Raises
-        ------
-        PromptQuarantined
-            If upstreams crash under a part of the prompt, as is known since the request
-            was sent.
-        """
-        if not admission.is_trial and context.is_waiting:
-            try:
-                self._quarantine.check_waiting(context.service, context.prompt)
-            except PromptQuarantined:
-                context.may_have_run = True
-                raise
-        return context.request.is_caller_disconnected()
-
     def _read_response(self, context: RequestContext, attempt: Attempt) -> Response:
         status = attempt.exchange.status
         headers = select_response_headers(attempt.exchange.headers)
@@ -247,11 +152,21 @@
             context.fallback = response
             raise ExchangeFailed(AttemptFailure.SERVER_ERROR, f"status {status}")
         splitter = EventSplitter()
-        context.attempt = attempt
         context.content_type = attempt.exchange.get_header(CONTENT_TYPE)
         # Until the first event arrives, the request may still be sent to another
         # upstream.
-        first = self._read_first_events(context, attempt, splitter)
+        while True:
+            try:
+                first = self._read_first_events(context, attempt, splitter)
+                break
+            except ExchangeFailed as failure:
+                if not self._dispatcher.is_silence(context, failure):
+                    raise
+            successor = self._dispatcher.handle_silence(
+                context, attempt, None, splitter.has_partial_event
+            )
+            if successor is not attempt:
+                return self._read_response(context, successor)
         headers = [(n, v) for n, v in headers if n.lower() != "content-length"]
         times = RelayTimes()
         relayed = record_times(
@@ -263,8 +178,7 @@
     def _read_first_events(
         self, context: RequestContext, attempt: Attempt, splitter: EventSplitter
     ) -> bytes:
-        limit = self._get_first_byte_deadline(context)
-        for part in attempt.iterate_parts(limit):
+        for part in attempt.iterate_parts(context.deadline, context.watch.get_limit):
             events = splitter.feed(part)
             if events:
                 record_events(context, attempt, splitter, self._clock.monotonic())
@@ -276,20 +190,19 @@
     def _relay(
         self, context: RequestContext, splitter: EventSplitter, times: RelayTimes
     ) -> Iterator[bytes]:
-        """Yield events; resume at another upstream where the route allows it."""
+        """Yield events; go on at another upstream where the route allows it."""
+        watch = self._dispatcher.watch_stream(context, lambda: splitter.last_id)
+        context.watch = watch
         while (attempt := context.attempt) is not None:
             try:
-                read_timeout_s = (
-                    READ_TIMEOUT_MAX_S if self._can_retry_elsewhere(context) else None
-                )
-                for part in attempt.iterate_parts(context.deadline, read_timeout_s):
+                for part in attempt.iterate_parts(context.deadline, watch.get_limit):
                     if events := splitter.feed(part):
                         record_events(
                             context, attempt, splitter, self._clock.monotonic()
                         )
                         yield events
                         # The caller's time to take the events does not count.
-                        attempt.mark_progress()
+                        watch.mark_progress(self._clock.monotonic())
                 rest = splitter.take_remainder()
                 if rest.strip() and not attempt.exchange.has_marked_end:
                     raise ConnectionLost("the stream ended inside an event")
@@ -300,13 +213,46 @@
                 log_stream_end(context, times, self._clock.monotonic())
                 return
             except ExchangeFailed as failure:
-                attempt.fail(failure)
-                log_failure(context, failure, self._clock)
-                context.attempt = self._resume_elsewhere(context, splitter, failure)
+                self._continue_stream(context, splitter, failure)
             except RequestError as error:
                 attempt.cancel()
                 raise self._break_stream(context, error.message) from error
 
+    def _continue_stream(
+        self,
+        context: RequestContext,
+        splitter: EventSplitter,
+        failure: ExchangeFailed,
+    ) -> None:
+        """Decide how a stream goes on whose attempt is silent or has failed.
+
+        Raises
+        ------
+        StreamBroken
+            If it can't go on.
+        """
+        attempt = context.attempt
+        assert attempt is not None
+        try:
+            if self._dispatcher.is_silence(context, failure):
+                successor = self._dispatcher.handle_silence(
+                    context, attempt, splitter.last_id, splitter.has_partial_event
+                )
+                if successor is not attempt:
+                    splitter.resume()
+                return
+        except ExchangeFailed as later_failure:
+            failure = later_failure
+        except RequestError as error:
+            attempt.cancel()
+            raise self._break_stream(context, error.message) from error
+        attempt.fail(failure)
+        log_failure(context, failure, self._clock)
+        watch = context.watch
+        context.set_attempt(self._resume_elsewhere(context, splitter, failure))
+        context.watch = watch
+        watch.mark_progress(self._clock.monotonic())
+
     def _can_retry_server_error(self, context: RequestContext) -> bool:
         """Return whether a server error is worth a retry at another upstream.
 
@@ -315,13 +261,11 @@
         Failures of engines are mostly random, those of applications depend on the
         request: lookups that fail at one application fail as often at another.
         """
-        return context.route.kind is RouteKind.STREAM and self._can_retry_elsewhere(
-            context
+        return (
+            context.route.kind is RouteKind.STREAM
+            and self._dispatcher.can_retry_elsewhere(context)
         )
 
-    def _can_retry_elsewhere(self, context: RequestContext) -> bool:
-        return may_retry(context.route, AttemptFailure.BROKEN, context.attempts_sent)
-
     def _resume_elsewhere(
         self, context: RequestContext, splitter: EventSplitter, failure: ExchangeFailed
     ) -> Attempt:
@@ -331,8 +275,8 @@
             raise self._break_stream(context, str(failure)) from failure
         while True:
             try:
-                self._check_retry(context, failure)
-                attempt = self._start_attempt(context, splitter.last_id)
+                self._dispatcher.check_retry(context, failure)
+                attempt = self._dispatcher.start(context, splitter.last_id)
             except ExchangeFailed as next_failure:
                 failure = next_failure
                 log_failure(context, failure, self._clock)
@@ -347,42 +291,11 @@
             reason = f"status {exchange.status}, {content_type} on resumption"
             raise self._break_stream(context, reason)
 
-    def _check_retry(self, context: RequestContext, failure: ExchangeFailed) -> None:
-        """Raise the caller's error unless the request may be retried.
-
-        Raises
-        ------
-        RequestError
-            If the deadline passed, the route forbids a retry or the retry budget is
-            used up.
-        """
-        kind = failure.kind
-        context.may_have_run = context.may_have_run or kind.may_have_run
-        now = self._clock.monotonic()
-        if now >= context.deadline:
-            raise DeadlineExceeded("the deadline passed")
-        if not may_retry(context.route, kind, context.attempts_sent):
-            log_no_retry(context, RetryDenial.ROUTE)
-            raise make_error(failure)
-        if kind is not AttemptFailure.NOT_SENT and not self._selector.take_retry(
-            context.service
-        ):
-            log_no_retry(context, RetryDenial.BUDGET)
-            raise make_error(failure)
-
     def _break_stream(self, context: RequestContext, reason: str) -> StreamBroken:
         """Log a broken stream and return the error that closes the connection."""
         log_broken_stream(context, reason)
         return StreamBroken(reason)
 
-    def _get_first_byte_deadline(self, context: RequestContext) -> float:
-        """Return the deadline for the first byte of a response."""
-        if not self._can_retry_elsewhere(context):
-            return context.deadline
-        target_s = context.route.target_s * READ_TIMEOUT_OBJECTIVES
-        read_timeout_s = min(READ_TIMEOUT_MAX_S, max(READ_TIMEOUT_MIN_S, target_s))
-        return min(context.deadline, self._clock.monotonic() + read_timeout_s)
-
 
 def record_events(
     context: RequestContext, attempt: Attempt, splitter: EventSplitter, now: float
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -31,12 +31,14 @@
     REFUSING_FRACTION,
     Departure,
 )
+from fescueflow.gateway.dispatch import AttemptDispatcher
 from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.logs import log_to_stdout
 from fescueflow.gateway.peers import PeerTable, PeerTransport
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine import PromptQuarantine
+from fescueflow.gateway.reachability import ReachabilityProbe
 from fescueflow.gateway.receivers import ReceiverChooser
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.relay import StoreRelay, decode_update
@@ -232,12 +234,19 @@
         )
 
     def _make_caller_server(self) -> GatewayServer:
-        forwarder = Forwarder(
+        dispatcher = AttemptDispatcher(
             platform_state=self._platform_state,
             selector=self._selector,
             client=self._client,
             clock=self._clock,
             quarantine=self._quarantine,
+            probe=ReachabilityProbe(self._pool, self._clock, self._metrics),
+            metrics=self._metrics,
+        )
+        forwarder = Forwarder(
+            selector=self._selector,
+            dispatcher=dispatcher,
+            clock=self._clock,
             buffers=AnswerBuffers(self._boot.memory_mb * 1e6),
             lookup=RouteLookup(
                 self._platform_state,
@@ -320,6 +329,7 @@
             log.info("upstreams restarted: {}", sorted(restarted))
             self._selector.retain(names - restarted)
         self._selector.retain(names)
+        self._client.retain(names)
         self._pool.close_stale({upstream.address for upstream in kept})
 
 
--- a/src/fescueflow/gateway/request_logs.py
+++ b/src/fescueflow/gateway/request_logs.py
@@ -1,8 +1,11 @@
 """Log lines that explain where a request was sent and how its attempts ended."""
 
+from enum import Enum
+
 import logbook
 
 from fescueflow.core import Clock, RequestError
+from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.requests import CallerRequest, RequestContext
 from fescueflow.gateway.selection import Selection
@@ -103,6 +106,31 @@
     )
 
 
+class SilenceEnd(Enum):
+    """What was decided on a silent attempt."""
+
+    # The upstream takes connections, so that the silence may end.
+    AWAITED = "awaited"
+    REPLACED = "replaced"
+    # Its replacement failed, or it went on first.
+    KEPT = "kept"
+    NO_REPLACEMENT = "no_replacement"
+
+
+def log_silence(context: RequestContext, silent: Attempt, end: SilenceEnd) -> None:
+    """Log what was decided on a silent attempt."""
+    log.info(
+        "upstream silent",
+        extra={
+            "id": context.request.headers.attempt_id,
+            "upstream": str(silent.selection.upstream.id),
+            "end": end.value,
+            "attempt": context.attempts_sent,
+            "events": context.event_count,
+        },
+    )
+
+
 def log_stream_end(context: RequestContext, times: RelayTimes, now: float) -> None:
     """Log the complete end of a stream and its longest pauses."""
     log.info(
@@ -153,6 +181,7 @@
 
 
 __all__ = [
+    "SilenceEnd",
     "describe_upstream",
     "list_parts",
     "log_broken_stream",
@@ -160,5 +189,6 @@
     "log_no_retry",
     "log_refusal",
     "log_selection",
+    "log_silence",
     "log_stream_end",
 ]
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -10,7 +10,14 @@
 from fescueflow.gateway.buffers import AnswerBuffer
 from fescueflow.gateway.streams import StreamBody
 from fescueflow.platform import CallHeaders, Headers
-from fescueflow.routing import PartId, Prompt, Route, ServiceId, Upstream
+from fescueflow.routing import (
+    PartId,
+    Prompt,
+    Route,
+    ServiceId,
+    SilenceWatch,
+    Upstream,
+)
 
 
 @dataclass(frozen=True)
@@ -83,11 +90,19 @@
     upstream: Upstream | None = None
     # Content type of the stream, which is that of all its attempts.
     content_type: str | None = None
-    # Attempt whose stream is being relayed.
+    # Attempt whose response is read.
     attempt: Attempt | None = None
+    # When its silence needs a decision; set with the first attempt.
+    watch: SilenceWatch = field(init=False)
+
+    def set_attempt(self, attempt: Attempt) -> None:
+        """Go on with an attempt."""
+        self.attempt = attempt
+        self.upstream = attempt.selection.upstream
+        self.is_waiting = not attempt.has_begun
 
     def cancel(self) -> None:
-        """Cancel the attempt whose stream is being relayed."""
+        """Cancel the attempt whose response is read."""
         if self.attempt is not None:
             self.attempt.cancel()
 
--- a/src/fescueflow/gateway/streams.py
+++ b/src/fescueflow/gateway/streams.py
@@ -61,6 +61,11 @@
             self.last_id, self._resumed_after = ids[-1], None
         return events
 
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether bytes of an incomplete event have arrived."""
+        return bool(self._pending)
+
     def take_remainder(self) -> bytes:
         """Return the incomplete event at the end of a stream."""
         rest, self._pending = self._pending, b""
--- a/src/fescueflow/platform/documents.py
+++ b/src/fescueflow/platform/documents.py
@@ -222,9 +222,17 @@
         # A public route does not require an API key.
         is_public=bool(document.get("public")),
         is_resumable=bool(document.get("resumable")),
+        pause_s=parse_pause_target(document) / 1000,
     )
 
 
+def parse_pause_target(document: dict[str, Any]) -> float:
+    """Return the longest pause of a route's streams in ms; only streams set one."""
+    if document.get("target_gap_ms") is None:
+        return 0.0
+    return max(0.0, get_field(document, "target_gap_ms", int, float))
+
+
 def parse_targets(document: dict[str, Any]) -> Iterator[tuple[ServiceId, int]]:
     """Yield the ID and weight of each service of a route."""
     entries = document.get("weighted_services")
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -77,6 +77,12 @@
     may_retry,
 )
 from fescueflow.routing.selection import choose_service, find_customer, find_route
+from fescueflow.routing.silence import (
+    SUSPICION_S,
+    SilenceWatch,
+    compute_first_byte_wait,
+    compute_patience,
+)
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
 __all__ = [
@@ -85,6 +91,7 @@
     "RELAY_DELAY_MAX_S",
     "SETTLED_AGE_S",
     "SURVIVAL_S",
+    "SUSPICION_S",
     "AdmissionDecision",
     "AttemptFailure",
     "BalanceBound",
@@ -120,6 +127,7 @@
     "RoutingTable",
     "Service",
     "ServiceId",
+    "SilenceWatch",
     "UnknownKey",
     "UnprovenAnswers",
     "Upstream",
@@ -130,6 +138,8 @@
     "blend_reports",
     "choose_service",
     "collect_evidence",
+    "compute_first_byte_wait",
+    "compute_patience",
     "correct_running",
     "count_independent",
     "decide_admission",
--- a/src/fescueflow/routing/model.py
+++ b/src/fescueflow/routing/model.py
@@ -35,7 +35,8 @@
 
     ``targets`` holds services with their weights. ``timeout_s`` limits the
     time to the complete answer. ``target_s`` is the latency objective, for streams
-    that of the first event.
+    that of the first event, and ``pause_s`` the longest pause between two events for
+    which a stream is still on time, 0 if the route sets none.
     """
 
     id: RouteId
@@ -49,6 +50,7 @@
     priority: int = PRIORITY_DEFAULT
     is_public: bool = False
     is_resumable: bool = False
+    pause_s: float = 0.0
 
     @property
     def is_retryable(self) -> bool:
