Replace a silent stream at once if its upstream goes on with others

Cause: a connection or request that is lost at an upstream that runs was awaited like the pause of a whole upstream, until 0.4 s before callers leave. Change: an upstream whose other answers have grown since half a second after the silent one stopped is not awaited; the replacement is still open before the silent attempt is ended. This holds before and after the first event alike. Why it works: an upstream that pauses as a whole writes to nobody; the other streams of the instance tell the two apart. Failed before: test_stream_stalls_while_its_upstream_goes_on_with_others (replaced after 2.8 s).

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -39,9 +39,6 @@
 ESTIMATE_TOLERANCE_REQUESTS = 3.0
 
 UNAVAILABLE_STATUS = 503
-# Age of the latest data of an upstream that is not silent: more than the longest pause
-# between events for which streams are on time.
-ACTIVE_AGE_S = 0.5
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
@@ -369,10 +366,9 @@
         self._active_at[upstream.id] = self._clock.monotonic()
         self._quarantine.record_alive(upstream)
 
-    def is_active(self, upstream: Upstream) -> bool:
-        """Return whether the upstream has answered any request just now."""
-        active_at = self._active_at.get(upstream.id, -math.inf)
-        return self._clock.monotonic() - active_at < ACTIVE_AGE_S
+    def get_active_at(self, upstream: Upstream) -> float:
+        """Return when data of the upstream arrived last, for any request."""
+        return self._active_at.get(upstream.id, -math.inf)
 
     def retain(self, kept: set[UpstreamId]) -> None:
         """Forget all upstreams that are not in ``kept``."""
--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -204,13 +204,13 @@
 
         Notes
         -----
-        A lookup may run at two upstreams. An upstream that answers others has lost a
-        request that has not begun, or has it in its queue: another one may be faster.
+        A lookup may run at two upstreams. An upstream that has gone on with others in
+        the meantime has lost the connection or the request, or has put it back.
         """
         if context.route.kind is not RouteKind.STREAM:
             return False
         upstream = attempt.selection.upstream
-        if not attempt.has_begun and self._client.is_active(upstream):
+        if self._client.get_active_at(upstream) > context.watch.quiet_since:
             return False
         return self._probe.is_reachable(upstream)
 
--- a/src/fescueflow/routing/silence.py
+++ b/src/fescueflow/routing/silence.py
@@ -18,6 +18,9 @@
 ABANDON_PAUSES = 8.0
 # Silence of a stream after which its upstream is looked at.
 SUSPICION_S = 1.5
+# Time within which all streams of an upstream that falls silent have had their last
+# event: more than the longest pause for which streams are on time.
+SPREAD_S = 0.5
 # Time that a replacement takes to connect, to read the prompt and to write an event.
 REPLACEMENT_S = 0.4
 # Time from one search for a replacement to the next.
@@ -89,6 +92,11 @@
         """Note that no replacement was found."""
         self._searched_at = now
 
+    @property
+    def quiet_since(self) -> float:
+        """Time from which on all connections of a silent upstream are quiet."""
+        return self._progress_at + SPREAD_S
+
     @property
     def is_suspected_only(self) -> bool:
         """Whether nothing has been decided on the silence so far."""
--- a/tests/gateway/test_silent_upstreams.py
+++ b/tests/gateway/test_silent_upstreams.py
@@ -171,3 +171,44 @@
 
         self.answer_in_turn(answer, go_on)
         self.assertEqual(self.call("/stream/1")[2], WHOLE)
+
+    def test_stream_stalls_while_its_upstream_goes_on_with_others(self):
+        """Guards against waiting for a lost connection as for a silent upstream."""
+        begun = {}
+
+        def answer(handler):
+            attempt_id = handler.headers["X-Attempt-Id"]
+            begun.setdefault(attempt_id, []).append(time.monotonic())
+            if handler.headers["Last-Event-Id"]:
+                handler.start_stream()
+                handler.send_event(2)
+                handler.send_event(3)
+                handler.end_stream()
+                return
+            handler.start_stream()
+            handler.send_event(1)
+            for number in range(2, 40):
+                if self.released.wait(0.1):
+                    break
+                if attempt_id != "stalled":
+                    handler.send_event(number)
+            handler.end_stream()
+
+        self.set_script(answer, answer)
+        others = [
+            threading.Thread(
+                target=self.call,
+                args=("/single/1",),
+                kwargs={"headers": {"X-Attempt-Id": f"other{n}"}},
+            )
+            for n in range(4)
+        ]
+        for other in others:
+            other.start()
+        body = self.call("/stream/1", headers={"X-Attempt-Id": "stalled"})[2]
+        self.assertEqual(body, WHOLE)
+        first, second = begun["stalled"]
+        self.assertLess(second - first, 2.5)
+        self.released.set()
+        for other in others:
+            other.join()
