Count and log each request that ends without a complete answer

Cause: how many requests an instance had read and not answered could not be told. A stream that broke off had a line, an unexpected error a traceback on standard error without the request's id, and connections cut by the stop, by the server's loop or behind an answer that closes its connection had nothing.

Change: fescueflow_unanswered_total{cause} and one line `unanswered` with the X-Attempt-Id for each such request; causes broken, deadline, error, stop, not_written, dropped, and caller_left for callers that went by themselves. The task (worker thread), the parser's release and the close of the connection (server's loop) report to one place, which counts a request once. Errors before the head of the answer are answered with 500 as before; they now have the line `unexpected error in a request` and requests_total{outcome="internal_error"}. Tasks and connections moved from server.py to channels.py. The status server's requests are not counted.

--- /dev/null
+++ b/src/fescueflow/gateway/channels.py
@@ -0,0 +1,235 @@
+"""Connections of callers: tasks that answer requests, and how each request ends."""
+
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from waitress.channel import ClientDisconnected
+from waitress.parser import HTTPRequestParser
+from waitress.task import ErrorTask, WSGITask
+
+from fescueflow.gateway.application import REQUEST_URI
+from fescueflow.gateway.streams import StreamBroken
+from fescueflow.gateway.unanswered import Cause, UnansweredRequests, find_cause
+from fescueflow.http1 import DirectChannel
+
+# Value of SO_LINGER with which a connection is reset when it is closed.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSED = "the connection is closed"
+CUT_ANSWER = "the answer is not written whole"
+
+
+class CallerParser(HTTPRequestParser):
+    """Request of a caller, which notes how it ends.
+
+    Attributes
+    ----------
+    is_running : bool
+        Whether a worker thread answers it, which then finds how it ends.
+    is_answered : bool
+        Whether its whole answer is written or waits in the connection's buffers.
+    read_at : float
+        When the request had been read, on the monotonic clock in seconds.
+    """
+
+    unanswered: UnansweredRequests
+    is_running = False
+    is_answered = False
+    read_at = 0.0
+
+    def __init__(self, adj: Any) -> None:
+        super().__init__(adj)
+        # The server's loop and a worker thread may find the end at the same time.
+        self._settle_lock = threading.Lock()
+        self._is_settled = False
+
+    def received(self, data: bytes) -> int:
+        """Read a part of the request; return the number of bytes used."""
+        count: int = super().received(data)
+        if self.completed:
+            self.read_at = time.monotonic()
+        return count
+
+    def close(self) -> None:
+        """Release the body of a request that is answered, or dropped unanswered."""
+        if self.completed and not self.empty and not self.is_answered:
+            self.settle(Cause.DROPPED, "the connection closes after an earlier answer")
+        super().close()
+
+    def settle(self, cause: Cause, why: str) -> None:
+        """Record the end of the request without a complete answer, once."""
+        with self._settle_lock:
+            if self._is_settled:
+                return
+            self._is_settled = True
+        self.unanswered.record(
+            attempt_id=self.get_attempt_id(),
+            path=str(self.path),
+            cause=cause,
+            why=why,
+            read_at=self.read_at,
+        )
+
+    def get_attempt_id(self) -> str:
+        """Return the id that the caller gave the request, empty without one."""
+        return str(self.headers.get("X_ATTEMPT_ID", ""))
+
+
+class CallerTask(WSGITask):
+    """Keeps the raw request target and closes connections while leaving."""
+
+    is_leaving: Callable[[], bool] = staticmethod(lambda: False)
+    is_ending: Callable[[], bool] = staticmethod(lambda: False)
+
+    def get_environment(self) -> dict[str, Any]:
+        """Return the environment with the request target as the caller sent it."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[REQUEST_URI] = self.request.request_uri
+        return environ
+
+    def service(self) -> None:
+        """Answer the request, and record it if it ends without a complete answer."""
+        self.request.is_running = True
+        try:
+            super().service()
+        except ClientDisconnected:
+            # The channel knows why it was closed.
+            self.request.settle(self.channel.close_cause, CLOSED)
+            raise
+        except Exception as error:
+            self._settle_error(error)
+            raise
+        except BaseException as error:
+            self.request.settle(Cause.ERROR, repr(error))
+            raise
+        if self._is_short():
+            self.request.settle(Cause.ERROR, "the body is shorter than its length")
+        self.channel.note_answer(self.request)
+
+    def execute(self) -> None:
+        """Run the application; reset the connection of a broken response.
+
+        Notes
+        -----
+        A caller of HTTP/1.0 gets neither a length nor chunks, and would take the end of
+        the connection for the end of the response.
+        """
+        try:
+            super().execute()
+        except StreamBroken:
+            if not self.chunked_response:
+                self.channel.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+            raise
+
+    def build_response_header(self) -> bytes:
+        """Return the head; while leaving, the connection closes after the response."""
+        if self.is_leaving():
+            self.set_close_on_finish()
+        head: bytes = super().build_response_header()
+        return head
+
+    def _settle_error(self, error: Exception) -> None:
+        if self.wrote_header:
+            self.request.settle(find_cause(error, self.is_ending()), str(error))
+            return
+        self.request.unanswered.record_internal_error(
+            attempt_id=self.request.get_attempt_id(), path=str(self.request.path)
+        )
+
+    def _is_short(self) -> bool:
+        return (
+            self.content_length is not None
+            and self.has_body
+            and self.request.command != "HEAD"
+            and self.content_bytes_written != self.content_length
+        )
+
+
+class CallerErrorTask(ErrorTask):
+    """Answers a malformed request, or one whose task failed."""
+
+    def service(self) -> None:
+        """Write the answer."""
+        request = self.channel.requests[0]
+        try:
+            super().service()
+        except ClientDisconnected:
+            request.settle(self.channel.close_cause, CLOSED)
+            raise
+        self.channel.note_answer(request)
+
+
+class CallerChannel(DirectChannel):
+    """Connection of a caller; knows the requests without a complete answer.
+
+    Attributes
+    ----------
+    close_cause : Cause
+        Why the connection is closed before its requests are answered.
+    """
+
+    error_task_class = CallerErrorTask
+    close_cause = Cause.CALLER_LEFT
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        # Answered requests of whose answers a part may wait in the output buffers.
+        self._unsent: list[CallerParser] = []
+        # Whether a part of them waited when the connection was closed.
+        self._is_cut = False
+        super().__init__(*args, **options)
+
+    def note_answer(self, request: CallerParser) -> None:
+        """Note that the whole answer to a request is written or buffered."""
+        request.is_answered = True
+        with self.outbuf_lock:
+            if self.total_outbufs_len:
+                self._unsent.append(request)
+                return
+            self._unsent.clear()
+        if self._is_cut:
+            request.settle(self.close_cause, CUT_ANSWER)
+
+    def handle_error(self) -> None:
+        """Close the connection after an unexpected error in the server's loop."""
+        self.close_cause = Cause.ERROR
+        super().handle_error()
+
+    def handle_close(self) -> None:
+        """Close the connection and record the requests that it leaves unanswered."""
+        if self.will_close and self.close_cause is Cause.CALLER_LEFT:
+            self.close_cause = Cause.NOT_WRITTEN
+        with self.outbuf_lock:
+            self._is_cut = self._is_cut or bool(self.total_outbufs_len)
+            unsent = list(self._unsent) if self._is_cut else []
+            super().handle_close()
+        for request in unsent:
+            request.settle(self.close_cause, CUT_ANSWER)
+        is_stop = self.close_cause is Cause.STOP
+        for request in list(self.requests):
+            # Threads are cut off when the process ends.
+            if not request.is_answered and (is_stop or not request.is_running):
+                request.settle(self.close_cause, CLOSED)
+
+
+def make_channel_class(
+    is_leaving: Callable[[], bool],
+    is_ending: Callable[[], bool],
+    unanswered: UnansweredRequests,
+) -> type[CallerChannel]:
+    """Return the channel class for the connections of one server."""
+    checks = {
+        "is_leaving": staticmethod(is_leaving),
+        "is_ending": staticmethod(is_ending),
+    }
+    parser = type("Parser", (CallerParser,), {"unanswered": unanswered})
+    task = type("Task", (CallerTask,), checks)
+    classes = {"task_class": task, "parser_class": parser}
+    return type("Channel", (CallerChannel,), classes)
+
+
+__all__ = ["CallerChannel", "CallerParser", "CallerTask", "make_channel_class"]
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -30,6 +30,7 @@
     CUTTING_FRACTION,
     REFUSING_FRACTION,
     Departure,
+    Stage,
 )
 from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.loads import LoadTracker
@@ -44,6 +45,7 @@
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
+from fescueflow.gateway.unanswered import UnansweredRequests
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -257,6 +259,8 @@
             addresses=[self._boot.callers_address],
             threads=CALLER_THREADS,
             is_leaving=lambda: self._departure.has_started,
+            unanswered=UnansweredRequests(self._metrics),
+            is_ending=lambda: self._departure.get_stage() is Stage.ENDING,
         )
 
     def _make_status_server(self) -> GatewayServer:
@@ -272,6 +276,8 @@
             addresses=[self._boot.ready_address, self._boot.directory_address],
             threads=STATUS_THREADS,
             is_leaving=lambda: False,
+            # Operators' questions are not counted among the requests of callers.
+            unanswered=UnansweredRequests(Metrics()),
         )
 
     def _make_report(self) -> bytes:
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -3,8 +3,6 @@
 import contextlib
 import logging
 import select
-import socket
-import struct
 import threading
 import time
 from collections.abc import Callable
@@ -12,13 +10,12 @@
 from typing import Any
 
 from waitress import create_server
-from waitress.task import WSGITask
 from waitress.wasyncore import close_all, dispatcher
 
-from fescueflow.gateway.application import REQUEST_URI
+from fescueflow.gateway.channels import make_channel_class
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.threads import GrowingDispatcher
-from fescueflow.http1 import DirectChannel
+from fescueflow.gateway.unanswered import Cause, UnansweredRequests
 
 # Above the limits that operators configure, which are checked once the configuration
 # is known.
@@ -35,8 +32,6 @@
 CALLER_THREADS = 128
 STATUS_THREADS = 2
 POLL_INTERVAL_S = 0.02
-# Value of SO_LINGER with which a connection is reset when it is closed.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STOP_TIMEOUT_S = 0.1
 
 
@@ -46,48 +41,6 @@
     return not isinstance(cause, StreamBroken)
 
 
-class GatewayTask(WSGITask):
-    """Keeps the raw request target and closes connections while leaving."""
-
-    is_leaving: Callable[[], bool] = staticmethod(lambda: False)
-
-    def get_environment(self) -> dict[str, Any]:
-        """Return the environment with the request target as the caller sent it."""
-        environ: dict[str, Any] = super().get_environment()
-        environ[REQUEST_URI] = self.request.request_uri
-        return environ
-
-    def execute(self) -> None:
-        """Run the application; reset the connection of a broken response.
-
-        Notes
-        -----
-        A caller of HTTP/1.0 gets neither a length nor chunks, and would take the end of
-        the connection for the end of the response.
-        """
-        try:
-            super().execute()
-        except StreamBroken:
-            if not self.chunked_response:
-                self.channel.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-            raise
-
-    def build_response_header(self) -> bytes:
-        """Return the head; while leaving, the connection closes after the response."""
-        if self.is_leaving():
-            self.set_close_on_finish()
-        head: bytes = super().build_response_header()
-        return head
-
-
-def make_channel_class(is_leaving: Callable[[], bool]) -> type[DirectChannel]:
-    """Return the channel class for the connections of one server."""
-    task = type("Task", (GatewayTask,), {"is_leaving": staticmethod(is_leaving)})
-    return type("Channel", (DirectChannel,), {"task_class": task})
-
-
 def run_in_loop(listener: Any, action: Callable[[], None]) -> None:
     """Run an action in the server's loop; do nothing if the loop has ended."""
     # The trigger is closed once the loop has ended.
@@ -132,6 +85,14 @@
             channel.handle_close()
 
 
+def cut_all(listeners: list[Any]) -> None:
+    """Close all connections; runs in the server's loop."""
+    for listener in listeners:
+        for channel in list(listener.active_channels.values()):
+            channel.close_cause = Cause.STOP
+            channel.handle_close()
+
+
 class GatewayServer:
     """Serves a WSGI application on one or more addresses.
 
@@ -143,6 +104,9 @@
         Largest number of worker threads.
     is_leaving : callable
         Returns whether connections close after their next response.
+    unanswered : UnansweredRequests
+    is_ending : callable, optional
+        Returns whether the grace period of a planned stop is about to end.
     """
 
     def __init__(
@@ -152,6 +116,8 @@
         addresses: list[str],
         threads: int,
         is_leaving: Callable[[], bool],
+        unanswered: UnansweredRequests,
+        is_ending: Callable[[], bool] = lambda: False,
     ) -> None:
         logging.getLogger("waitress").addFilter(is_unexpected)
         # Waitress logs a warning for each request that waits for a thread.
@@ -178,7 +144,7 @@
             asyncore_use_poll=True,
             ident=None,
         )
-        channel_class = make_channel_class(is_leaving)
+        channel_class = make_channel_class(is_leaving, is_ending, unanswered)
         # Each address has its own server in the map.
         self._listeners = [
             entry for entry in self._map.values() if hasattr(entry, "active_channels")
@@ -218,6 +184,7 @@
 
     def stop(self) -> None:
         """Close all connections and listeners."""
+        run_in_loop(self._listeners[0], partial(cut_all, self._listeners))
         run_in_loop(self._listeners[0], lambda: close_all(self._map, True))
         self._thread.join(STOP_TIMEOUT_S)
 
