Wait at a stop for requests that are not read yet

Cause: at the end of the refusing stage the stop asked the server's loop to take the backlog and to close idle connections, and looked at once whether a request was pending. It counted requests that were read whole and output that was not sent, only. While the loop had not run, or a request was read in part, or a new connection's first request was on its way, nothing was pending: the process ended and the kernel reset these connections. Callers saw a reset instead of a 503, and could not know that the request had not run.

Change: the stop waits until the loop has closed the listeners; unread input, half a request and a connection without a request yet count as pending, the last two for 1.0 s after the last byte.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -171,18 +171,32 @@
     ----------
     close_cause : Cause
         Why the connection is closed before its requests are answered.
+    is_new : bool
+        Whether nothing has been received.
+    received_at : float
+        When it was accepted or the last bytes were received, on the monotonic clock in
+        seconds.
     """
 
     error_task_class = CallerErrorTask
     close_cause = Cause.CALLER_LEFT
+    is_new = True
 
     def __init__(self, *args: Any, **options: Any) -> None:
         # Answered requests of whose answers a part may wait in the output buffers.
         self._unsent: list[CallerParser] = []
         # Whether a part of them waited when the connection was closed.
         self._is_cut = False
+        self.received_at = time.monotonic()
         super().__init__(*args, **options)
 
+    def received(self, data: bytes) -> bool:
+        """Take a part of one or more requests."""
+        self.received_at = time.monotonic()
+        taken: bool = super().received(data)
+        self.is_new = False
+        return taken
+
     def note_answer(self, request: CallerParser) -> None:
         """Note that the whole answer to a request is written or buffered."""
         request.is_answered = True
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -33,6 +33,9 @@
 STATUS_THREADS = 2
 POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = 0.1
+# Time without a byte after which a stop no longer waits for the rest of a request, or
+# for the first one of a connection: TCP resends a lost packet sooner.
+REST_WAIT_S = 1.0
 
 
 def is_unexpected(record: logging.LogRecord) -> bool:
@@ -51,10 +54,31 @@
 def has_data(connection: Any) -> bool:
     """Return whether a socket has a connection or data to read."""
     poll = select.poll()
-    poll.register(connection, select.POLLIN)
+    try:
+        poll.register(connection, select.POLLIN)
+    except (TypeError, ValueError):
+        # Closed meanwhile by the server's loop.
+        return False
     return bool(poll.poll(0))
 
 
+def awaits_rest(channel: Any) -> bool:
+    """Return whether a request, or the rest of one, may be on its way."""
+    if channel.request is None and not channel.is_new:
+        return False
+    return bool(time.monotonic() - channel.received_at < REST_WAIT_S)
+
+
+def is_pending(channel: Any) -> bool:
+    """Return whether a request of a connection is not read whole or not answered."""
+    return bool(
+        channel.requests
+        or channel.total_outbufs_len
+        or awaits_rest(channel)
+        or has_data(channel.socket)
+    )
+
+
 def close_listener(listener: Any) -> None:
     """Take the connections that wait in the backlog, then stop listening.
 
@@ -75,13 +99,10 @@
 
     Notes
     -----
-    A connection with unread data is left open: its request is served, and the response
-    closes it.
+    The request of a connection with unread data is served, and the response closes it.
     """
     for channel in list(listener.active_channels.values()):
-        if channel.requests or channel.total_outbufs_len or channel.request:
-            continue
-        if not has_data(channel.socket):
+        if channel.request is None and not is_pending(channel):
             channel.handle_close()
 
 
@@ -122,6 +143,8 @@
         logging.getLogger("waitress").addFilter(is_unexpected)
         # Waitress logs a warning for each request that waits for a thread.
         logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+        # Set when the listeners are closed and all of their backlogs is taken.
+        self._closed = threading.Event()
         self._map: dict[int, Any] = {}
         self._dispatcher = GrowingDispatcher(threads)
         self._dispatcher.set_thread_count(threads)
@@ -160,23 +183,40 @@
         self._thread.start()
 
     def close_listeners(self) -> None:
-        """Stop accepting connections, and close those without a pending request."""
+        """Stop accepting connections, and close those without a pending request.
+
+        Notes
+        -----
+        The server's loop does so soon; ``wait_idle`` waits for it.
+        """
         for listener in self._listeners:
             run_in_loop(listener, partial(close_listener, listener))
             run_in_loop(listener, partial(close_idle, listener))
+        run_in_loop(self._listeners[-1], self._closed.set)
 
     def count_pending(self) -> int:
-        """Return the number of connections with an unfinished response."""
+        """Return the number of connections with a pending request."""
         channels = [
             channel
             for listener in self._listeners
             for channel in list(listener.active_channels.values())
         ]
-        return sum(bool(c.requests or c.total_outbufs_len) for c in channels)
+        return sum(map(is_pending, channels))
 
     def wait_idle(self, deadline: float) -> bool:
-        """Wait until all responses are finished; return whether they are."""
-        while self.count_pending():
+        """Wait until the listeners are closed and all responses are finished.
+
+        Parameters
+        ----------
+        deadline : float
+            On the monotonic clock in seconds.
+
+        Returns
+        -------
+        bool
+            Whether they are.
+        """
+        while not self._closed.is_set() or self.count_pending():
             if time.monotonic() >= deadline:
                 return False
             time.sleep(POLL_INTERVAL_S)
--- /dev/null
+++ b/tests/gateway/test_stop_edges.py
@@ -0,0 +1,179 @@
+"""Tests of requests at the edges of a planned stop."""
+
+import socket
+import threading
+from unittest import mock
+
+from fescueflow.gateway.departure import Stage
+from tests.gateway.gateway_case import WAIT_S, GatewayTestCase
+from tests.gateway.raw_callers import (
+    connect,
+    list_statuses,
+    read_all,
+    render_request,
+)
+
+# Pause in the middle of a request, well below the time for its rest.
+PAUSE_S = 0.3
+
+
+class StopEdgeTest(GatewayTestCase):
+    """Guards against requests that a stop cuts between two steps of the instance."""
+
+    grace_s = 4.0
+
+    def setUp(self):
+        super().setUp()
+        self.released = threading.Event()
+        self.addCleanup(self.released.set)
+        self.left = threading.Event()
+        (self.listener,) = self.gateway._caller_server._listeners
+
+    def connect(self, **options):
+        caller = connect(self.ports["callers"], **options)
+        self.addCleanup(caller.close)
+        return caller
+
+    def start_leaving(self):
+        def leave():
+            self.gateway.leave()
+            self.left.set()
+
+        thread = threading.Thread(target=leave)
+        self.addCleanup(thread.join)
+        thread.start()
+
+    def wait_for_refusing(self):
+        stage = self.gateway._departure.get_stage
+        self.wait_for(lambda: stage() in (Stage.REFUSING, Stage.ENDING))
+
+    def hold_loop(self):
+        """Hold up the server's loop; return the event that lets it go on."""
+        held, gate = threading.Event(), threading.Event()
+        self.addCleanup(gate.set)
+        readable = self.listener.readable
+
+        def wait():
+            held.set()
+            gate.wait(WAIT_S)
+            return readable()
+
+        self.listener.readable = wait
+        self.listener.pull_trigger()
+        self.assertTrue(held.wait(WAIT_S))
+        return gate
+
+    def answer_late(self, handler):
+        self.released.wait(WAIT_S)
+        handler.send_sealed()
+
+    def wait_for_requests(self, count):
+        """Wait until this many requests are read whole and not answered."""
+        channels = self.listener.active_channels
+        self.wait_for(
+            lambda: sum(len(c.requests) for c in list(channels.values())) == count
+        )
+
+    def test_connection_that_waits_to_be_accepted(self):
+        gate = self.hold_loop()
+        caller = self.connect()
+        caller.sendall(render_request("/once/1"))
+        self.start_leaving()
+        self.wait_for_refusing()
+        # Time in which a stop that waits for nothing has ended.
+        self.left.wait(PAUSE_S)
+        gate.set()
+        data, _ = read_all(caller)
+        self.assertEqual(list_statuses(data), [503])
+        self.assertEqual(sum(self.count_arrivals()), 0)
+
+    @mock.patch("fescueflow.gateway.server.REST_WAIT_S", WAIT_S)
+    def test_new_connection_whose_request_is_on_its_way(self):
+        self.set_script(*[self.answer_late] * 2)
+        first = self.connect()
+        first.sendall(render_request("/safe/1"))
+        self.wait_for(lambda: sum(self.count_arrivals()))
+        gate = self.hold_loop()
+        caller = self.connect()
+        self.start_leaving()
+        self.wait_for_refusing()
+        gate.set()
+        self.wait_for(lambda: not self.listener.accepting)
+        caller.sendall(render_request("/once/1"))
+        self.assertEqual(list_statuses(read_all(caller)[0]), [503])
+
+    @mock.patch("fescueflow.gateway.server.REST_WAIT_S", WAIT_S)
+    def test_request_that_is_read_in_part(self):
+        caller = self.connect()
+        request = render_request("/once/1", body=b"question")
+        caller.sendall(request[:-1])
+        self.start_leaving()
+        self.wait_for(lambda: not self.listener.accepting)
+        self.left.wait(PAUSE_S)
+        caller.sendall(request[-1:])
+        data, _ = read_all(caller)
+        self.assertEqual(list_statuses(data), [503])
+
+    def test_caller_that_sends_no_more_does_not_hold_up_the_stop(self):
+        caller = self.connect()
+        caller.sendall(render_request("/once/1", body=b"question")[:-1])
+        channels = self.listener.active_channels
+        self.wait_for(lambda: any(c.request for c in list(channels.values())))
+        self.wait_for(lambda: not self.gateway._caller_server.count_pending())
+
+    def test_connection_without_a_request_does_not_hold_up_the_stop(self):
+        self.connect()
+        self.wait_for(lambda: self.listener.active_channels)
+        self.wait_for(lambda: not self.gateway._caller_server.count_pending())
+
+    def test_request_that_waits_for_a_thread(self):
+        self.set_script(*[self.answer_late] * 2)
+        self.gateway._caller_server._dispatcher._threads_max = 2
+        callers = [self.connect() for _ in range(3)]
+        for caller in callers:
+            caller.sendall(render_request("/once/1"))
+        self.wait_for_requests(3)
+        self.start_leaving()
+        answers = [list_statuses(read_all(caller)[0]) for caller in callers]
+        self.assertEqual(sorted(answers), [[503], [504], [504]])
+
+    def test_half_closed_connection_counts_as_left(self):
+        """A caller that closed looks the same until something is sent to it."""
+        self.set_script(*[self.answer_late] * 2)
+        caller = self.connect()
+        caller.sendall(render_request("/safe/1"))
+        self.wait_for(lambda: sum(self.count_arrivals()))
+        caller.shutdown(socket.SHUT_WR)
+        self.assertEqual(read_all(caller)[0], b"")
+        metrics = self.gateway._metrics
+        self.wait_for(lambda: metrics.get_count("unanswered", cause="caller_left"))
+
+    def test_stream_that_began_before_the_stop_told_the_close(self):
+        def answer(handler):
+            handler.start_stream()
+            handler.send_event(1)
+            self.released.wait(WAIT_S)
+            handler.end_stream()
+
+        self.set_script(answer, answer)
+        caller = self.connect()
+        caller.sendall(render_request("/stream/1"))
+        self.wait_for_requests(1)
+        self.wait_for(lambda: sum(self.count_arrivals()))
+        self.start_leaving()
+        self.wait_for(lambda: self.gateway._departure.has_started)
+        self.released.set()
+        data, _ = read_all(caller)
+        self.assertIn(b"connection: close", data.lower())
+        self.assertTrue(data.endswith(b"0\r\n\r\n"))
+
+    def test_second_departure_changes_nothing(self):
+        self.set_script(*[self.answer_late] * 2)
+        caller = self.connect()
+        caller.sendall(render_request("/safe/1"))
+        self.wait_for(lambda: sum(self.count_arrivals()))
+        self.start_leaving()
+        self.wait_for_refusing()
+        self.gateway.leave()
+        self.released.set()
+        self.assertEqual(list_statuses(read_all(caller)[0]), [200])
