Answer pipelined requests that were read before a stop

Cause: from SIGTERM on, each answer closes its connection. The server drops what it has read behind such an answer, so a pipelined request that was read whole before the signal ended without an answer (now counted as `dropped`). It had not been passed on, but its caller could not know that.

Change: while leaving, an answer closes its connection only if no further request has been read behind it. One that is read after the head of the answer with `Connection: close` is still dropped, as HTTP/1.1 says; so is one behind a stream, whose answer always closes its connection.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -127,8 +127,13 @@
             raise
 
     def build_response_header(self) -> bytes:
-        """Return the head; while leaving, the connection closes after the response."""
-        if self.is_leaving():
+        """Return the head; while leaving, the last response closes the connection.
+
+        Notes
+        -----
+        Requests that have been read behind this one are answered first.
+        """
+        if self.is_leaving() and len(self.channel.requests) <= 1:
             self.set_close_on_finish()
         head: bytes = super().build_response_header()
         return head
--- a/tests/gateway/test_stop_edges.py
+++ b/tests/gateway/test_stop_edges.py
@@ -137,6 +137,18 @@
         answers = [list_statuses(read_all(caller)[0]) for caller in callers]
         self.assertEqual(sorted(answers), [[503], [504], [504]])
 
+    def test_pipelined_request_that_is_read_before_the_stop(self):
+        self.set_script(*[self.answer_late] * 2)
+        caller = self.connect()
+        caller.sendall(render_request("/safe/1") + render_request("/safe/2", "a2"))
+        self.wait_for_requests(2)
+        self.start_leaving()
+        self.wait_for(lambda: self.gateway._departure.has_started)
+        self.released.set()
+        data, _ = read_all(caller)
+        self.assertEqual(list_statuses(data), [200, 200])
+        self.assertEqual(data.lower().count(b"connection: close"), 1)
+
     def test_half_closed_connection_counts_as_left(self):
         """A caller that closed looks the same until something is sent to it."""
         self.set_script(*[self.answer_late] * 2)
