Serve on at a stop if the announcement fails

Cause: the stop sends a last report to other instances. An unexpected error in it (the report is made of all components' state) left the main thread: the process ended at once, with all requests in progress cut.

Change: caught and logged as `unexpected error in the announcement`. Others find out by the missing reports.

Measured: the new test of tests.gateway.test_stop_edges failed on (the leaving thread ended with "ValueError: unforeseen", the stop never did) and holds now, one run.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -197,8 +197,7 @@
         log.info("leaving")
         grace_s = self._boot.grace_s
         self._departure.start(grace_s)
-        self._reporter.update_own_record()
-        self._transport.send_now()
+        self._announce_departure()
         self._clock.wait(self._stopped, grace_s * REFUSING_FRACTION)
         self._caller_server.close_listeners()
         idle = self._caller_server.wait_idle(started_at + grace_s * CUTTING_FRACTION)
@@ -209,6 +208,14 @@
         self._caller_server.stop()
         self._status_server.stop()
 
+    def _announce_departure(self) -> None:
+        try:
+            self._reporter.update_own_record()
+            self._transport.send_now()
+        except Exception as error:  # noqa: BLE001
+            # An error here would end the process, and cut the requests in progress.
+            log.error("unexpected error in the announcement: {!r}", error)
+
     def _handle_update(self, data: bytes) -> None:
         self._watcher.handle_update(decode_update(data))
 
--- a/tests/gateway/test_stop_edges.py
+++ b/tests/gateway/test_stop_edges.py
@@ -179,6 +179,21 @@
         self.assertIn(b"connection: close", data.lower())
         self.assertTrue(data.endswith(b"0\r\n\r\n"))
 
+    def test_report_that_fails_at_the_departure(self):
+        def fail():
+            raise ValueError("unforeseen")
+
+        self.set_script(*[self.answer_late] * 2)
+        caller = self.connect()
+        caller.sendall(render_request("/safe/1"))
+        self.wait_for(lambda: sum(self.count_arrivals()))
+        self.gateway._transport._make_report = fail
+        self.start_leaving()
+        self.wait_for_refusing()
+        self.released.set()
+        self.assertEqual(list_statuses(read_all(caller)[0]), [200])
+        self.assertTrue(self.left.wait(WAIT_S))
+
     def test_second_departure_changes_nothing(self):
         self.set_script(*[self.answer_late] * 2)
         caller = self.connect()
