Close the connection of a request whose thread fails

Cause: a worker thread caught errors that are no `Exception` (SystemExit, and any error in the server's own handling around a task), printed a traceback without the request's id and went on. The request stayed the first one of its connection for ever: its caller waited until it gave up, later requests of the connection were not read, and a stop waited until connections were cut.

Change: the connection is closed and the request counted as unanswered (cause `error`, with its id); the traceback is a line of the instance's log.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -213,6 +213,15 @@
         if self._is_cut:
             request.settle(self.close_cause, CUT_ANSWER)
 
+    def cancel(self) -> None:
+        """Close the connection after an unexpected error in a worker thread."""
+        self.close_cause = Cause.ERROR
+        for request in list(self.requests):
+            if not request.is_answered:
+                request.settle(Cause.ERROR, "an error of the thread")
+        super().cancel()
+        self.server.pull_trigger()
+
     def handle_error(self) -> None:
         """Close the connection after an unexpected error in the server's loop."""
         self.close_cause = Cause.ERROR
--- a/src/fescueflow/gateway/threads.py
+++ b/src/fescueflow/gateway/threads.py
@@ -4,12 +4,15 @@
 would need more threads than one machine allows, while most instances are idle.
 """
 
+import logbook
 from waitress.task import ThreadedTaskDispatcher
 
 # Time after which an idle thread ends: a pause between two bursts of callers.
 THREAD_IDLE_S = 5.0
 THREADS_MIN = 2
 
+log = logbook.Logger("server")
+
 
 class GrowingDispatcher(ThreadedTaskDispatcher):
     """Task dispatcher that starts a thread if no other is idle.
@@ -48,7 +51,9 @@
             try:
                 task.service()
             except BaseException:  # noqa: B036, BLE001
-                self.logger.exception("Exception when servicing %r", task)
+                log.exception("unexpected error in a thread")
+                # Otherwise the connection would stay open without an answer.
+                task.cancel()
 
     def _take_task(self, thread_no: int):  # type: ignore[no-untyped-def]
         """Return the next task, ``None`` if the thread has to end."""
--- a/tests/gateway/test_threads.py
+++ b/tests/gateway/test_threads.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from fescueflow.gateway.threads import THREADS_MIN, GrowingDispatcher
 from tests.gateway.gateway_case import WAIT_S, GatewayTestCase
@@ -67,6 +68,38 @@
         self.assertTrue(last[1].started.wait(WAIT_S))
 
 
+class FailingTask(BlockingTask):
+    """Task that ends its thread's work by an error that is no ``Exception``."""
+
+    def __init__(self):
+        super().__init__()
+        self.cancelled = threading.Event()
+
+    def service(self):
+        raise SystemExit("unforeseen")
+
+    def cancel(self):
+        self.cancelled.set()
+
+
+class FailingThreadTest(unittest.TestCase):
+    """Guards against requests that hang because of an error of their thread."""
+
+    def setUp(self):
+        self.dispatcher = GrowingDispatcher(8, idle_s=0.05)
+        self.dispatcher.set_thread_count(8)
+        self.addCleanup(self.dispatcher.shutdown)
+
+    def test_task_that_fails_is_cancelled(self):
+        task, later = FailingTask(), BlockingTask()
+        self.dispatcher.logger = mock.Mock()
+        self.dispatcher.add_task(task)
+        self.assertTrue(task.cancelled.wait(WAIT_S))
+        self.dispatcher.add_task(later)
+        self.assertTrue(later.started.wait(WAIT_S))
+        later.released.set()
+
+
 class IdleInstanceTest(GatewayTestCase):
     """Guards against threads that an instance holds without requests."""
 
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -161,6 +161,14 @@
             self.call("/stream/1")
         self.check_counted("error")
 
+    def test_error_that_ends_a_thread(self):
+        def fail(request):
+            raise SystemExit("unforeseen")
+
+        self.set_forward(fail)
+        self.assertEqual(self.read_all(self.connect(("a1", "/safe/1"))), b"")
+        self.check_counted("error")
+
     def test_unexpected_error_before_the_answer(self):
         def fail(request):
             raise ValueError("unforeseen")
