Keep a request whose thread can't be started

Cause: if the machine had no more threads, the error of the start ended the read of the request: the server's loop closed the connection, without an answer and without the request's id, and kept the task in the queue and a thread in its books that did not exist. Each such error lost one request and one of the 128 threads of the instance for good.

Change: the error is a line of the instance's log (`no thread started`), and the task waits for a running thread; two are started with the server and stay.

Measured: test_threads.test_thread_that_can_not_be_started failed before ("RuntimeError: can't start new thread" from add_task) and holds now; test_threads and test_unanswered green (17 tests, one run).

--- a/src/fescueflow/gateway/threads.py
+++ b/src/fescueflow/gateway/threads.py
@@ -78,9 +78,14 @@
 
     def _start_thread(self) -> None:
         thread_no = next(n for n in range(self._threads_max) if n not in self.threads)
+        try:
+            self.start_new_thread(self.handler_thread, thread_no)
+        except RuntimeError as error:
+            # The machine has no more; the task waits for a running thread.
+            log.error("no thread started: {}", error)
+            return
         self.threads.add(thread_no)
         self.active_count += 1
-        self.start_new_thread(self.handler_thread, thread_no)
 
 
 __all__ = ["GrowingDispatcher"]
--- a/tests/gateway/test_threads.py
+++ b/tests/gateway/test_threads.py
@@ -99,6 +99,22 @@
         self.assertTrue(later.started.wait(WAIT_S))
         later.released.set()
 
+    def test_thread_that_can_not_be_started(self):
+        """The machine's limit of threads holds for all of its processes."""
+        tasks = [BlockingTask() for _ in range(4)]
+        for task in tasks[:THREADS_MIN]:
+            self.dispatcher.add_task(task)
+            self.assertTrue(task.started.wait(WAIT_S))
+        error = RuntimeError("can't start new thread")
+        with mock.patch.object(threading.Thread, "start", side_effect=error):
+            for task in tasks[THREADS_MIN:]:
+                self.dispatcher.add_task(task)
+        self.assertEqual(len(self.dispatcher.threads), THREADS_MIN)
+        for task in tasks:
+            task.released.set()
+        for task in tasks:
+            self.assertTrue(task.started.wait(WAIT_S))
+
 
 class IdleInstanceTest(GatewayTestCase):
     """Guards against threads that an instance holds without requests."""
