Read what a caller has sent before its connection is closed

Cause: the kernel resets a connection that is closed with unread input, and discards what the caller has not taken of an answer that was complete here. An answer that closes its connection (each one while leaving, each stream, each error) lost its rest if the caller had sent more than the two requests that are read ahead, or the rest of a body that was refused by its length.

Change: such a connection gets its end (FIN) after the answer; input is then read and discarded until the caller closes, for 2.0 s at most. Connections without unread input are closed as before, and so are broken answers of HTTP/1.0, whose end must look like a failure. A stop waits for these, too.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -1,5 +1,7 @@
 """Connections of callers: tasks that answer requests, and how each request ends."""
 
+import contextlib
+import select
 import socket
 import struct
 import threading
@@ -18,10 +20,25 @@
 
 # Value of SO_LINGER with which a connection is reset when it is closed.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Longest time for which a connection that is closed takes further input: a caller that
+# reads slowly needs it to have the rest of its answer.
+LINGER_S = 2.0
+LINGER_READ_BYTES = 1 << 16
 CLOSED = "the connection is closed"
 CUT_ANSWER = "the answer is not written whole"
 
 
+def has_data(connection: Any) -> bool:
+    """Return whether a socket has a connection or data to read."""
+    poll = select.poll()
+    try:
+        poll.register(connection, select.POLLIN)
+    except (TypeError, ValueError):
+        # Closed meanwhile by the server's loop.
+        return False
+    return bool(poll.poll(0))
+
+
 class CallerParser(HTTPRequestParser):
     """Request of a caller, which notes how it ends.
 
@@ -121,6 +138,7 @@
             super().execute()
         except StreamBroken:
             if not self.chunked_response:
+                self.channel.is_reset = True
                 self.channel.socket.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
                 )
@@ -178,6 +196,8 @@
         Why the connection is closed before its requests are answered.
     is_new : bool
         Whether nothing has been received.
+    is_reset : bool
+        Whether its end must look like a failure.
     received_at : float
         When it was accepted or the last bytes were received, on the monotonic clock in
         seconds.
@@ -186,12 +206,15 @@
     error_task_class = CallerErrorTask
     close_cause = Cause.CALLER_LEFT
     is_new = True
+    is_reset = False
 
     def __init__(self, *args: Any, **options: Any) -> None:
         # Answered requests of whose answers a part may wait in the output buffers.
         self._unsent: list[CallerParser] = []
         # Whether a part of them waited when the connection was closed.
         self._is_cut = False
+        # Until when further input is taken and discarded before the close.
+        self._linger_until: float | None = None
         self.received_at = time.monotonic()
         super().__init__(*args, **options)
 
@@ -227,8 +250,57 @@
         self.close_cause = Cause.ERROR
         super().handle_error()
 
+    def cut(self) -> None:
+        """Close the connection at the end of a stop."""
+        self.close_cause = Cause.STOP
+        self._end()
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the answers are written and further input is discarded."""
+        return self._linger_until is not None
+
+    def readable(self) -> bool:
+        """Return whether input is taken; close the connection after lingering."""
+        if self._linger_until is None:
+            return bool(super().readable())
+        if time.monotonic() >= self._linger_until:
+            self._end()
+            return False
+        return True
+
+    def writable(self) -> bool:
+        """Return whether the server's loop has to write or to close."""
+        return self._linger_until is None and bool(super().writable())
+
+    def handle_read(self) -> None:
+        """Take input, which is discarded while the connection lingers."""
+        if self._linger_until is None:
+            super().handle_read()
+        elif not self.recv(LINGER_READ_BYTES):
+            self._end()
+
     def handle_close(self) -> None:
-        """Close the connection and record the requests that it leaves unanswered."""
+        """Close the connection and record the requests that it leaves unanswered.
+
+        Notes
+        -----
+        The kernel resets a connection that is closed with unread input, and discards
+        what the caller has not taken of its answer. Input of a connection whose answers
+        are written is therefore read first.
+        """
+        if self._linger_until is None and self._has_unread_input():
+            self._linger_until = time.monotonic() + LINGER_S
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_WR)
+            return
+        self._end()
+
+    def _has_unread_input(self) -> bool:
+        is_orderly = self.will_close and self.connected and not self.total_outbufs_len
+        return is_orderly and not self.is_reset and has_data(self.socket)
+
+    def _end(self) -> None:
         if self.will_close and self.close_cause is Cause.CALLER_LEFT:
             self.close_cause = Cause.NOT_WRITTEN
         with self.outbuf_lock:
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import logging
-import select
 import threading
 import time
 from collections.abc import Callable
@@ -12,10 +11,10 @@
 from waitress import create_server
 from waitress.wasyncore import close_all, dispatcher
 
-from fescueflow.gateway.channels import make_channel_class
+from fescueflow.gateway.channels import has_data, make_channel_class
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.threads import GrowingDispatcher
-from fescueflow.gateway.unanswered import Cause, UnansweredRequests
+from fescueflow.gateway.unanswered import UnansweredRequests
 
 # Above the limits that operators configure, which are checked once the configuration
 # is known.
@@ -51,17 +50,6 @@
         listener.trigger.pull_trigger(action)
 
 
-def has_data(connection: Any) -> bool:
-    """Return whether a socket has a connection or data to read."""
-    poll = select.poll()
-    try:
-        poll.register(connection, select.POLLIN)
-    except (TypeError, ValueError):
-        # Closed meanwhile by the server's loop.
-        return False
-    return bool(poll.poll(0))
-
-
 def awaits_rest(channel: Any) -> bool:
     """Return whether a request, or the rest of one, may be on its way."""
     if channel.request is None and not channel.is_new:
@@ -74,6 +62,7 @@
     return bool(
         channel.requests
         or channel.total_outbufs_len
+        or channel.is_lingering
         or awaits_rest(channel)
         or has_data(channel.socket)
     )
@@ -110,8 +99,7 @@
     """Close all connections; runs in the server's loop."""
     for listener in listeners:
         for channel in list(listener.active_channels.values()):
-            channel.close_cause = Cause.STOP
-            channel.handle_close()
+            channel.cut()
 
 
 class GatewayServer:
--- a/tests/gateway/test_stop_edges.py
+++ b/tests/gateway/test_stop_edges.py
@@ -15,6 +15,8 @@
 
 # Pause in the middle of a request, well below the time for its rest.
 PAUSE_S = 0.3
+# More than both sides' sockets hold at first.
+LARGE_BYTES = 1_000_000
 
 
 class StopEdgeTest(GatewayTestCase):
@@ -149,6 +151,25 @@
         self.assertEqual(list_statuses(data), [200, 200])
         self.assertEqual(data.lower().count(b"connection: close"), 1)
 
+    def test_unread_input_destroys_no_answer(self):
+        answer = b"x" * LARGE_BYTES
+        self.set_script(
+            *[lambda h: (self.released.wait(WAIT_S), h.send_sealed(body=answer))] * 2
+        )
+        caller = self.connect(receive_bytes=4096)
+        # Only two requests are read at once, the others stay in the socket.
+        caller.sendall(render_request("/safe/1"))
+        self.wait_for_requests(1)
+        caller.sendall(render_request("/safe/2"))
+        self.wait_for_requests(2)
+        caller.sendall(render_request("/safe/3"))
+        self.start_leaving()
+        self.wait_for_refusing()
+        self.released.set()
+        data, _ = read_all(caller)
+        self.assertEqual(list_statuses(data)[:1], [200])
+        self.assertGreaterEqual(len(data), LARGE_BYTES)
+
     def test_half_closed_connection_counts_as_left(self):
         """A caller that closed looks the same until something is sent to it."""
         self.set_script(*[self.answer_late] * 2)
