Tell a caller that left from an error in a stream of HTTP/1.0

Cause: if a caller of HTTP/1.0 left in the middle of a stream, the thread that ended the stream set an option on a socket that was closed already. The error ("'NoneType' object has no attribute 'setsockopt'") hid the reason and printed a traceback for a caller that had only gone away.

Change: the option is set only while the connection is open.

Measured: the new test of tests.gateway.test_unanswered failed before ("{'error': 1} != {'caller_left': 1}") and holds now; test_unanswered and test_broken_streams green, one run.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -138,10 +138,7 @@
             super().execute()
         except StreamBroken:
             if not self.chunked_response:
-                self.channel.is_reset = True
-                self.channel.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
+                self.channel.reset_on_close()
             raise
 
     def build_response_header(self) -> bytes:
@@ -250,6 +247,16 @@
         self.close_cause = Cause.ERROR
         super().handle_error()
 
+    def reset_on_close(self) -> None:
+        """Let the end of the connection look like a failure."""
+        self.is_reset = True
+        # The server's loop holds this lock while it closes; no socket is left then.
+        with self.outbuf_lock:
+            if self.connected:
+                self.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+
     def cut(self) -> None:
         """Close the connection at the end of a stop."""
         self.close_cause = Cause.STOP
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -205,6 +205,17 @@
         caller.close()
         self.check_counted("caller_left")
 
+    def test_caller_of_an_old_protocol_version_that_leaves_a_stream(self):
+        self.set_script(self.stall_stream, self.stall_stream)
+        caller = self.connect()
+        caller.sendall(
+            b"POST /single/1 HTTP/1.0\r\nHost: fleet.example\r\nX-Attempt-Id: a1\r\n"
+            b"Authorization: Token k1\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertTrue(caller.recv(100))
+        caller.close()
+        self.check_counted("caller_left")
+
     def test_caller_that_leaves_a_stream(self):
         self.set_script(self.stall_stream, self.stall_stream)
         caller = self.connect(("a1", "/single/1"))
