Wait for signals instead of handling them

Cause: the handlers of SIGTERM and SIGHUP set an event, which takes a lock that is not reentrant. A signal that came while the handler of the one before, or the main thread's own wait, held that lock stopped the main thread for good: the process served on, and neither SIGTERM nor SIGHUP did anything any more. The platform then kills it at the end of the grace period, with all its requests. A signal during the start, before the handlers were set, killed the process.

Change: both signals are blocked in all threads and waited for; nothing runs in a handler. A signal during the start is acted on once the instance runs.

How often two signals meet in practice was not measured.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -63,6 +63,8 @@
 # Limit for a complete response of the store.
 STORE_CALL_TIMEOUT_S = 3.0
 EXIT_INVALID = 2
+# The second one reloads the settings.
+SIGNALS = frozenset({signal.SIGTERM, signal.SIGHUP})
 # Settings that a running process reloads; addresses and names need a restart.
 RELOADED_SETTINGS = frozenset(
     {
@@ -176,7 +178,7 @@
         log.info("started {} in {}", self._boot.instance, self._boot.zone)
 
     def request_reload(self) -> None:
-        """Reload the settings soon; may be called from a signal handler."""
+        """Reload the settings soon."""
         self._reload_requested.set()
 
     def is_ready(self) -> bool:
@@ -361,7 +363,15 @@
 
 
 def run(environment: Mapping[str, str] | None = None) -> int:
-    """Run one instance until SIGTERM; return the exit code."""
+    """Run one instance until SIGTERM; return the exit code.
+
+    Notes
+    -----
+    Signals are waited for, not handled: a handler that interrupts another one, or the
+    wait itself, would wait for a lock that its own thread holds. Threads inherit the
+    mask of the main thread, so that it is set before they start.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     load = partial(load_boot, os.environ if environment is None else environment)
     with log_to_stdout() as handler:
         try:
@@ -373,11 +383,9 @@
             return EXIT_INVALID
         handler.instance = boot.instance
         gateway = Gateway(boot, SystemClock(), SystemRandomSource(), load)
-        ended = threading.Event()
-        signal.signal(signal.SIGTERM, lambda *_: ended.set())
-        signal.signal(signal.SIGHUP, lambda *_: gateway.request_reload())
         gateway.start()
-        ended.wait()
+        while signal.sigwait(SIGNALS) == signal.SIGHUP:
+            gateway.request_reload()
         gateway.leave()
         handler.flush_within(0.2)
     return 0
