Go on writing the log after an error of its output

Cause: one error of standard output (its reader has ended, no space) ended the thread that writes the log. Requests were still answered, but nothing was logged for the rest of the process's life, and the exit flushed a buffer that could not be written.

The output is written without a buffer, so that the exit has nothing to flush and cannot wait for a reader.

--- a/src/fescueflow/gateway/logs.py
+++ b/src/fescueflow/gateway/logs.py
@@ -1,13 +1,15 @@
 """Bounded log output that never blocks a request."""
 
 import json
+import os
+import select
 import sys
 import threading
 import time
 from collections import Counter, deque
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import logbook
 
@@ -19,6 +21,53 @@
 SUMMARY_INTERVAL_S = 5.0
 
 
+class TextOutput(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str, /) -> object:
+        """Write text."""
+
+    def flush(self) -> None:
+        """Pass on what is buffered."""
+
+
+class DescriptorOutput:
+    """Writes to a file descriptor without a buffer, of which a part could be left.
+
+    Parameters
+    ----------
+    descriptor : int
+
+    Notes
+    -----
+    The interpreter flushes the buffer of the standard output when it exits, which may
+    fail or wait for a reader.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+
+    def write(self, text: str, /) -> None:
+        """Write text whole.
+
+        Raises
+        ------
+        OSError
+            If the reader has gone or there is no space.
+        """
+        data = text.encode()
+        while data:
+            try:
+                data = data[os.write(self._descriptor, data) :]
+            except BlockingIOError:
+                poll = select.poll()
+                poll.register(self._descriptor, select.POLLOUT)
+                poll.poll()
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+
 class BoundedHandler(logbook.Handler):
     """Queues JSON lines for a thread that writes them.
 
@@ -33,7 +82,7 @@
         Instance id in every line.
     """
 
-    def __init__(self, stream: TextIO, level: int = logbook.INFO) -> None:
+    def __init__(self, stream: TextOutput, level: int = logbook.INFO) -> None:
         super().__init__(level=level)
         self.instance = ""
         self._stream = stream
@@ -86,10 +135,17 @@
                 self._is_writing = True
                 batch = [self._lines.popleft() for _ in range(len(self._lines))]
                 self._add_summary(batch)
-                self._stream.write("\n".join(batch) + "\n")
-                self._stream.flush()
+                self._write(batch)
                 self._is_writing = False
 
+    def _write(self, batch: list[str]) -> None:
+        try:
+            self._stream.write("\n".join(batch) + "\n")
+            self._stream.flush()
+        except (OSError, ValueError) as error:
+            # Later lines may be written again.
+            self._dropped[f"log: not written, {error!r}"] += len(batch)
+
     def _add_summary(self, batch: list[str]) -> None:
         now = time.monotonic()
         if self._dropped and now - self._summarized_at >= SUMMARY_INTERVAL_S:
@@ -101,7 +157,7 @@
 @contextmanager
 def log_to_stdout() -> Iterator[BoundedHandler]:
     """Write log records of all threads to standard output as JSON lines."""
-    handler = BoundedHandler(sys.stdout)
+    handler = BoundedHandler(DescriptorOutput(sys.stdout.fileno()))
     with handler.applicationbound():
         yield handler
 
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -27,6 +27,38 @@
         """Do nothing."""
 
 
+class FailingStream(StalledStream):
+    """Output stream whose reader is away at first."""
+
+    def __init__(self):
+        super().__init__()
+        self.failures = 1
+        self.released.set()
+
+    def write(self, text):
+        if self.failures:
+            self.failures -= 1
+            raise BrokenPipeError(32, "Broken pipe")
+        super().write(text)
+
+
+class FailingOutputTest(unittest.TestCase):
+    """Guards against a log that ends for good with one error of its output."""
+
+    def test_lines_after_an_error(self):
+        stream = FailingStream()
+        handler = BoundedHandler(stream)
+        with handler:
+            log.info("first")
+            deadline = time.monotonic() + 20
+            while stream.failures:
+                self.assertLess(time.monotonic(), deadline)
+                time.sleep(0.01)
+            log.info("second")
+        handler.flush_within(20)
+        self.assertIn("second", stream.text)
+
+
 class BoundedHandlerTest(unittest.TestCase):
     """Guards against requests that block because the log isn't read."""
 
--- a/tests/gateway/test_processes.py
+++ b/tests/gateway/test_processes.py
@@ -73,6 +73,16 @@
         process.terminate()
         self.check_exit(process)
 
+    def test_output_that_is_closed(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        try:
+            process = self.start(writer)
+        finally:
+            os.close(writer)
+        process.terminate()
+        self.check_exit(process)
+
 
 if __name__ == "__main__":
     unittest.main()
