Pause after a connection can't be accepted

Cause: without a free descriptor a connection stays in the backlog, and the server's loop tried it again at once, without end, and printed a traceback on standard error each time: 2,300 to 4,600 a second here. The loop also serves all other connections; once nobody reads standard error, the write blocks it, and with it every request of the instance (not measured, by the code).

Change: after an error the listener pauses for 0.1 s (1 s at most while the loop has nothing else to do) and writes one line `no connection accepted`.

--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import Any
 
+import logbook
 from waitress import create_server
 from waitress.wasyncore import close_all, dispatcher
 
@@ -32,11 +33,16 @@
 STATUS_THREADS = 2
 POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = 0.1
+# Pause after a connection could not be accepted, for descriptors to be released.
+ACCEPT_PAUSE_S = 0.1
 # Time without a byte after which a stop no longer waits for the rest of a request, or
 # for the first one of a connection: TCP resends a lost packet sooner.
 REST_WAIT_S = 1.0
 
 
+log = logbook.Logger("server")
+
+
 def is_unexpected(record: logging.LogRecord) -> bool:
     """Return whether a log record is not about a stream that an upstream broke."""
     cause = record.exc_info[1] if record.exc_info else None
@@ -50,6 +56,33 @@
         listener.trigger.pull_trigger(action)
 
 
+def pause_after_errors(listener: Any) -> None:
+    """Let a listener go on after an error, at a pace that leaves time for requests.
+
+    Notes
+    -----
+    Without free descriptors, a connection stays in the backlog: the server's loop would
+    try it again at once and without end.
+    """
+    readable = listener.readable
+    paused_until = 0.0
+
+    def accept() -> Any:
+        nonlocal paused_until
+        try:
+            return type(listener).accept(listener)
+        except OSError as error:
+            log.error("no connection accepted: {}", error)
+            paused_until = time.monotonic() + ACCEPT_PAUSE_S
+            return None
+
+    def is_readable() -> bool:
+        return bool(readable()) and time.monotonic() >= paused_until
+
+    listener.accept = accept
+    listener.readable = is_readable
+
+
 def awaits_rest(channel: Any) -> bool:
     """Return whether a request, or the rest of one, may be on its way."""
     if channel.request is None and not channel.is_new:
@@ -162,6 +195,7 @@
         ]
         for listener in self._listeners:
             listener.channel_class = channel_class
+            pause_after_errors(listener)
         self._thread = threading.Thread(
             target=self._server.run, name=addresses[0], daemon=True
         )
