Keep the listener if a new connection can't be set up

Cause: any error while a new connection is set up was taken for an error of the listener, which was closed. The process went on and told that it was ready, but accepted nothing any more; connections in the backlog were reset. No such error has been seen; the guard is the same as for other threads.

Change: the error is a line of the log, the listener stays.

Measured: test_accept.test_connection_that_can_not_be_set_up failed before ("ConnectionResetError" at the next call) and holds now.

--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -62,9 +62,9 @@
     Notes
     -----
     Without free descriptors, a connection stays in the backlog: the server's loop would
-    try it again at once and without end.
+    try it again at once and without end. Any other error would close the listener.
     """
-    readable = listener.readable
+    handle_accept, readable = listener.handle_accept, listener.readable
     paused_until = 0.0
 
     def accept() -> Any:
@@ -76,10 +76,17 @@
             paused_until = time.monotonic() + ACCEPT_PAUSE_S
             return None
 
+    def accept_safely() -> None:
+        try:
+            handle_accept()
+        except Exception:  # noqa: BLE001
+            log.exception("unexpected error with a new connection")
+
     def is_readable() -> bool:
         return bool(readable()) and time.monotonic() >= paused_until
 
     listener.accept = accept
+    listener.handle_accept = accept_safely
     listener.readable = is_readable
 
 
--- a/tests/gateway/test_accept.py
+++ b/tests/gateway/test_accept.py
@@ -50,3 +50,17 @@
         self.wait_for(lambda: calls)
         self.wait_for(lambda: time.monotonic() > calls[0] + OBSERVED_S)
         self.assertLessEqual(len(calls), TRIES_PER_S_MAX * OBSERVED_S)
+
+    def test_connection_that_can_not_be_set_up(self):
+        real, failed = self.listener.channel_class, []
+
+        def fail(*args, **options):
+            self.listener.channel_class = real
+            failed.append(args)
+            raise ValueError("unforeseen")
+
+        self.listener.channel_class = fail
+        caller = connect(self.ports["callers"])
+        self.addCleanup(caller.close)
+        self.wait_for(lambda: failed)
+        self.assertEqual(self.call("/safe/1")[0], 200)
