Write the HTTP server's messages to the bounded log

Cause: messages of the HTTP library (tracebacks of errors while serving, errors of its loop) went to standard error, without limit, from the threads that answer requests and from the loop that serves all connections. A write there waits for a reader; nothing bounded it. They were also not among the lines that `explain` and the operators' tools read.

Change: they pass through the same bounded log as all lines.

That a full standard error blocks an instance follows from the code, not shown.

--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import logbook
+from logbook.compat import RedirectLoggingHandler
 from waitress import create_server
 from waitress.wasyncore import close_all, dispatcher
 
@@ -90,6 +91,23 @@
     listener.readable = is_readable
 
 
+def redirect_server_log() -> None:
+    """Pass the messages of the HTTP server on to the log, which blocks no thread.
+
+    Notes
+    -----
+    Without a handler they go to standard error: the thread that logs, which may be the
+    server's loop, waits there for a reader.
+    """
+    server_log = logging.getLogger("waitress")
+    server_log.addFilter(is_unexpected)
+    server_log.propagate = False
+    if not server_log.handlers:
+        server_log.addHandler(RedirectLoggingHandler())
+    # Waitress logs a warning for each request that waits for a thread.
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+
+
 def awaits_rest(channel: Any) -> bool:
     """Return whether a request, or the rest of one, may be on its way."""
     if channel.request is None and not channel.is_new:
@@ -168,9 +186,7 @@
         unanswered: UnansweredRequests,
         is_ending: Callable[[], bool] = lambda: False,
     ) -> None:
-        logging.getLogger("waitress").addFilter(is_unexpected)
-        # Waitress logs a warning for each request that waits for a thread.
-        logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+        redirect_server_log()
         # Set when the listeners are closed and all of their backlogs is taken.
         self._closed = threading.Event()
         self._map: dict[int, Any] = {}
