Close idle connections by the monotonic clock

Cause: the HTTP library closes connections that were idle for 60 s by readings of the wall clock. One step forward of a minute or more closed all connections of the instance that had no request in progress, without telling callers, and cut answers that were complete here and not taken yet.

Change: the instance's own times, on the monotonic clock, decide.

Measured: test_stop_edges.ClockStepTest (an answer of 12 MB, a step of an hour) failed before ("b'' is not true : the answer is cut") and holds now; test_unanswered and test_stop_edges 26 tests green, one run.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -198,6 +198,9 @@
     received_at : float
         When it was accepted or the last bytes were received, on the monotonic clock in
         seconds.
+    answered_at : float
+        When it was accepted or the last answer was written or buffered, on the same
+        clock.
     """
 
     error_task_class = CallerErrorTask
@@ -212,7 +215,7 @@
         self._is_cut = False
         # Until when further input is taken and discarded before the close.
         self._linger_until: float | None = None
-        self.received_at = time.monotonic()
+        self.received_at = self.answered_at = time.monotonic()
         super().__init__(*args, **options)
 
     def received(self, data: bytes) -> bool:
@@ -225,6 +228,7 @@
     def note_answer(self, request: CallerParser) -> None:
         """Note that the whole answer to a request is written or buffered."""
         request.is_answered = True
+        self.answered_at = time.monotonic()
         with self.outbuf_lock:
             if self.total_outbufs_len:
                 self._unsent.append(request)
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -108,6 +108,23 @@
     logging.getLogger("waitress.queue").setLevel(logging.ERROR)
 
 
+def close_unused(listener: Any, _: float) -> None:
+    """Close connections that have been idle for long; runs in the server's loop.
+
+    Notes
+    -----
+    In place of the HTTP library's, which compares readings of the wall clock: one step
+    of it closed all connections that were idle or whose answers were not taken yet.
+    """
+    cutoff = time.monotonic() - IDLE_TIMEOUT_S
+    for channel in listener.active_channels.values():
+        if (
+            not channel.requests
+            and max(channel.received_at, channel.answered_at) < cutoff
+        ):
+            channel.will_close = True
+
+
 def awaits_rest(channel: Any) -> bool:
     """Return whether a request, or the rest of one, may be on its way."""
     if channel.request is None and not channel.is_new:
@@ -206,7 +223,6 @@
             outbuf_high_watermark=OUTPUT_HIGH_WATERMARK_BYTES,
             # Without lookahead, a disconnect is only noticed when the response ends.
             channel_request_lookahead=1,
-            channel_timeout=IDLE_TIMEOUT_S,
             clear_untrusted_proxy_headers=False,
             asyncore_use_poll=True,
             ident=None,
@@ -218,6 +234,7 @@
         ]
         for listener in self._listeners:
             listener.channel_class = channel_class
+            listener.maintenance = partial(close_unused, listener)
             pause_after_errors(listener)
         self._thread = threading.Thread(
             target=self._server.run, name=addresses[0], daemon=True
--- a/tests/gateway/test_stop_edges.py
+++ b/tests/gateway/test_stop_edges.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from unittest import mock
 
 from fescueflow.gateway.departure import Stage
@@ -16,7 +17,8 @@
 # Pause in the middle of a request, well below the time for its rest.
 PAUSE_S = 0.3
 # More than both sides' sockets hold at first.
-LARGE_BYTES = 1_000_000
+LARGE_BYTES = 12_000_000
+STEP_S = 3600.0
 
 
 class StopEdgeTest(GatewayTestCase):
@@ -225,3 +227,32 @@
         self.gateway.leave()
         self.released.set()
         self.assertEqual(list_statuses(read_all(caller)[0]), [200])
+
+
+class ClockStepTest(GatewayTestCase):
+    """Guards against connections that a step of the wall clock closes."""
+
+    def test_step_of_an_hour(self):
+        answer = b"x" * LARGE_BYTES
+        self.set_script(*[lambda h: h.send_sealed(body=answer)] * 2)
+        (listener,) = self.gateway._caller_server._listeners
+        listener.adj.outbuf_high_watermark = 2 * LARGE_BYTES
+        caller = connect(self.ports["callers"], receive_bytes=4096)
+        self.addCleanup(caller.close)
+        caller.sendall(render_request("/safe/1"))
+        channels = listener.active_channels
+        self.wait_for(
+            lambda: any(
+                c.total_outbufs_len and not c.requests for c in list(channels.values())
+            )
+        )
+        now = time.time
+        with mock.patch("time.time", lambda: now() + STEP_S):
+            listener.next_channel_cleanup = 0
+            listener.pull_trigger()
+            self.wait_for(lambda: listener.next_channel_cleanup)
+            data = b""
+            while len(data) < LARGE_BYTES:
+                part = caller.recv(1 << 20)
+                self.assertTrue(part, "the answer is cut")
+                data += part
--- a/tests/gateway/test_unanswered.py
+++ b/tests/gateway/test_unanswered.py
@@ -7,6 +7,7 @@
 import logbook
 
 from fescueflow.gateway.requests import Response
+from fescueflow.gateway.server import IDLE_TIMEOUT_S
 from fescueflow.gateway.streams import StreamBody
 from fescueflow.gateway.unanswered import Cause
 from tests.gateway.gateway_case import WAIT_S, GatewayTestCase
@@ -139,7 +140,7 @@
 
         def has_expired():
             for channel in list(listener.active_channels.values()):
-                channel.last_activity = 0
+                channel.received_at = channel.answered_at = -IDLE_TIMEOUT_S
             listener.next_channel_cleanup = 0
             # The server's loop closes the connection when it can write again.
             caller.recv(1 << 20)
