Serve on after an error in the server's loop

Cause: an error outside the handling of one connection ended the thread of the server's loop. The process went on, told that it was ready and named its address; callers connected and waited without an answer. Errors in actions that other threads give to the loop were logged at a level that is not written.

Change: the loop goes on after such an error, with a line of the log. No such error has been seen; it is the same guard as for the other threads.

Measured: test_accept.LoopTest.test_error_in_the_loop_of_the_server failed before (the next call timed out after 20 s) and holds now. Those of the upkeep and the reports, and test_processes.test_hangup_with_invalid_settings, held before and guard what was not guarded.

--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -36,6 +36,7 @@
 STOP_TIMEOUT_S = 0.1
 # Pause after a connection could not be accepted, for descriptors to be released.
 ACCEPT_PAUSE_S = 0.1
+LOOP_ERROR = "unexpected error in the server's loop"
 # Time without a byte after which a stop no longer waits for the rest of a request, or
 # for the first one of a connection: TCP resends a lost packet sooner.
 REST_WAIT_S = 1.0
@@ -52,9 +53,16 @@
 
 def run_in_loop(listener: Any, action: Callable[[], None]) -> None:
     """Run an action in the server's loop; do nothing if the loop has ended."""
+
+    def run() -> None:
+        try:
+            action()
+        except Exception:  # noqa: BLE001
+            log.exception(LOOP_ERROR)
+
     # The trigger is closed once the loop has ended.
     with contextlib.suppress(OSError):
-        listener.trigger.pull_trigger(action)
+        listener.trigger.pull_trigger(run)
 
 
 def pause_after_errors(listener: Any) -> None:
@@ -237,13 +245,23 @@
             listener.maintenance = partial(close_unused, listener)
             pause_after_errors(listener)
         self._thread = threading.Thread(
-            target=self._server.run, name=addresses[0], daemon=True
+            target=self._serve, name=addresses[0], daemon=True
         )
 
     def start(self) -> None:
         """Accept connections."""
         self._thread.start()
 
+    def _serve(self) -> None:
+        """Run the server's loop until all of its connections are closed."""
+        while self._map:
+            try:
+                self._server.run()
+            except Exception:  # noqa: BLE001
+                # Without this thread, no connection would be served any more.
+                log.exception(LOOP_ERROR)
+                time.sleep(POLL_INTERVAL_S)
+
     def close_listeners(self) -> None:
         """Stop accepting connections, and close those without a pending request.
 
--- a/tests/gateway/test_accept.py
+++ b/tests/gateway/test_accept.py
@@ -64,3 +64,43 @@
         self.addCleanup(caller.close)
         self.wait_for(lambda: failed)
         self.assertEqual(self.call("/safe/1")[0], 200)
+
+
+class LoopTest(GatewayTestCase):
+    """Guards against threads that end by one error, while the instance runs on."""
+
+    def fail_once(self, owner, name):
+        """Let a function raise an error at its next call; return a list of failures."""
+        real, failures = getattr(owner, name), []
+
+        def fail(*args):
+            if failures:
+                return real(*args)
+            failures.append(args)
+            raise ValueError("unforeseen")
+
+        setattr(owner, name, fail)
+        return failures
+
+    def test_error_in_the_loop_of_the_server(self):
+        (listener,) = self.gateway._caller_server._listeners
+        failures = self.fail_once(listener, "readable")
+        listener.pull_trigger()
+        self.wait_for(lambda: failures)
+        self.assertEqual(self.call("/safe/1")[0], 200)
+
+    def test_error_in_the_upkeep(self):
+        failures = self.fail_once(self.gateway._peers, "drop_old")
+        self.wait_for(lambda: failures)
+        reloads = []
+        self.gateway._load = lambda: reloads.append(1) or self.gateway._boot
+        self.gateway.request_reload()
+        self.wait_for(lambda: reloads)
+
+    def test_error_in_the_reports(self):
+        transport = self.gateway._transport
+        failures = self.fail_once(transport, "_make_report")
+        self.wait_for(lambda: failures)
+        reports = []
+        transport._make_report = lambda: reports.append(1) or b""
+        self.wait_for(lambda: reports)
--- a/tests/gateway/test_processes.py
+++ b/tests/gateway/test_processes.py
@@ -4,8 +4,10 @@
 import signal
 import subprocess
 import tempfile
+import threading
 import time
 import unittest
+from pathlib import Path
 
 from tests.gateway.fake_servers import FakeStore
 from tests.gateway.gateway_case import WAIT_S
@@ -51,6 +53,24 @@
         process.terminate()
         self.check_exit(process)
 
+    def test_hangup_with_invalid_settings(self):
+        process = self.start(subprocess.PIPE)
+        self.addCleanup(process.stdout.close)
+        (path,) = Path(self.directory).iterdir()
+        path.write_text("no = settings [", "utf-8")
+        process.send_signal(signal.SIGHUP)
+        limit = threading.Timer(WAIT_S, process.kill)
+        self.addCleanup(limit.cancel)
+        limit.start()
+        for line in process.stdout:
+            if b"settings refused" in line:
+                break
+        else:
+            self.fail("the process ended")
+        self.assertIsNone(process.poll())
+        process.terminate()
+        self.check_exit(process)
+
     def test_several_terminations(self):
         process = self.start()
         for _ in range(HANGUPS):
