--- a/tests/gateway/test_stop_edges.py
+++ b/tests/gateway/test_stop_edges.py
@@ -202,6 +202,29 @@
         self.assertIn(b"connection: close", data.lower())
         self.assertTrue(data.endswith(b"0\r\n\r\n"))
 
+    def test_request_that_crosses_the_close_is_not_passed_on(self):
+        """It arrives between the look for unread input and the close."""
+        caller = self.connect()
+        caller.sendall(render_request("/safe/1"))
+        self.assertTrue(caller.recv(10_000))
+        for upstream in self.upstreams:
+            upstream.arrivals.clear()
+        crossed = threading.Event()
+
+        def look(channel):
+            if not crossed.is_set():
+                caller.sendall(render_request("/once/2", "a2"))
+                crossed.set()
+            return False
+
+        with mock.patch("fescueflow.gateway.server.is_pending", look):
+            self.start_leaving()
+            self.assertTrue(crossed.wait(WAIT_S))
+            data, _ = read_all(caller)
+        self.assertTrue(self.left.wait(WAIT_S))
+        self.assertEqual(data, b"")
+        self.assertEqual(sum(self.count_arrivals()), 0)
+
     def test_report_that_fails_at_the_departure(self):
         def fail():
             raise ValueError("unforeseen")
