Count a request's deadline from when it was read

Cause: the deadline of a request began when a thread took it, not when it had been read. While all 128 threads were busy, a request that had waited was passed on with more time than its caller had, up to the whole deadline once more; its caller had left or got its answer too late.

Change: the deadline, the route's timeout and the times in the log begin when the last byte has been read. One that waited for too long is refused with 503, not run.

Measured: test_stop_edges.ThreadWaitTest failed before ("[200] != [503]" by the version without the change: it was passed on 0.2 s after its deadline) and holds in 3 of 3 runs; with test_path and test_unanswered green, one run.

--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -31,6 +31,8 @@
 )
 
 REQUEST_URI = "fescueflow.request_uri"
+# When the request had been read, on the monotonic clock in seconds.
+READ_AT = "fescueflow.read_at"
 JSON_TYPE = "application/json"
 # Addresses in one response; callers use no more.
 ADDRESSES_MAX = 64
@@ -152,7 +154,8 @@
         self, environ: Environment, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Handle one request."""
-        started_at = self._clock.monotonic()
+        # A request may have waited for a thread since.
+        started_at = environ.get(READ_AT, self._clock.monotonic())
         self._on_request()
         attempt_id = environ.get(ATTEMPT_ID_VARIABLE, "")
         try:
@@ -272,4 +275,4 @@
         return 200, JSON_TYPE, make_directory_body(addresses, self._get_address_ttl_s())
 
 
-__all__ = ["REQUEST_URI", "CallerApplication", "StatusApplication"]
+__all__ = ["READ_AT", "REQUEST_URI", "CallerApplication", "StatusApplication"]
--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -13,7 +13,7 @@
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask, WSGITask
 
-from fescueflow.gateway.application import REQUEST_URI
+from fescueflow.gateway.application import READ_AT, REQUEST_URI
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.unanswered import Cause, UnansweredRequests, find_cause
 from fescueflow.http1 import DirectChannel
@@ -105,6 +105,7 @@
         """Return the environment with the request target as the caller sent it."""
         environ: dict[str, Any] = super().get_environment()
         environ[REQUEST_URI] = self.request.request_uri
+        environ[READ_AT] = self.request.read_at
         return environ
 
     def service(self) -> None:
--- a/tests/gateway/test_stop_edges.py
+++ b/tests/gateway/test_stop_edges.py
@@ -252,6 +252,32 @@
         self.assertEqual(list_statuses(read_all(caller)[0]), [200])
 
 
+class ThreadWaitTest(GatewayTestCase):
+    """Guards against deadlines that begin anew when a thread is free."""
+
+    def test_deadline_that_passes_before_a_thread_is_free(self):
+        released = threading.Event()
+        self.addCleanup(released.set)
+        late = lambda h: (released.wait(WAIT_S), h.send_sealed())  # noqa: E731
+        self.set_script(late, late)
+        self.gateway._caller_server._dispatcher._threads_max = 2
+        first = [connect(self.ports["callers"]) for _ in range(2)]
+        for caller in first:
+            self.addCleanup(caller.close)
+            caller.sendall(render_request("/safe/1"))
+        self.wait_for(lambda: sum(self.count_arrivals()) == 2)
+        caller = connect(self.ports["callers"])
+        self.addCleanup(caller.close)
+        request = render_request("/safe/2", "a2").replace(b"9000", b"300")
+        caller.sendall(request)
+        started_at = time.monotonic()
+        self.wait_for(lambda: time.monotonic() > started_at + 0.5)
+        released.set()
+        # Not passed on, and told so.
+        self.assertEqual(list_statuses(caller.recv(10_000)), [503])
+        self.assertEqual(sum(self.count_arrivals()), 2)
+
+
 class ClockStepTest(GatewayTestCase):
     """Guards against connections that a step of the wall clock closes."""
 
