--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -30,6 +30,7 @@
     CUTTING_FRACTION,
     REFUSING_FRACTION,
     Departure,
+    Stage,
 )
 from fescueflow.gateway.dispatch import AttemptDispatcher
 from fescueflow.gateway.forwarding import Forwarder
@@ -46,6 +47,7 @@
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
+from fescueflow.gateway.unanswered import UnansweredRequests
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -63,6 +65,8 @@
 # Limit for a complete response of the store.
 STORE_CALL_TIMEOUT_S = 3.0
 EXIT_INVALID = 2
+# The second one reloads the settings.
+SIGNALS = frozenset({signal.SIGTERM, signal.SIGHUP})
 # Settings that a running process reloads; addresses and names need a restart.
 RELOADED_SETTINGS = frozenset(
     {
@@ -176,7 +180,7 @@
         log.info("started {} in {}", self._boot.instance, self._boot.zone)
 
     def request_reload(self) -> None:
-        """Reload the settings soon; may be called from a signal handler."""
+        """Reload the settings soon."""
         self._reload_requested.set()
 
     def is_ready(self) -> bool:
@@ -197,8 +201,7 @@
         log.info("leaving")
         grace_s = self._boot.grace_s
         self._departure.start(grace_s)
-        self._reporter.update_own_record()
-        self._transport.send_now()
+        self._announce_departure()
         self._clock.wait(self._stopped, grace_s * REFUSING_FRACTION)
         self._caller_server.close_listeners()
         idle = self._caller_server.wait_idle(started_at + grace_s * CUTTING_FRACTION)
@@ -209,6 +212,14 @@
         self._caller_server.stop()
         self._status_server.stop()
 
+    def _announce_departure(self) -> None:
+        try:
+            self._reporter.update_own_record()
+            self._transport.send_now()
+        except Exception as error:  # noqa: BLE001
+            # An error here would end the process, and cut the requests in progress.
+            log.error("unexpected error in the announcement: {!r}", error)
+
     def _handle_update(self, data: bytes) -> None:
         self._watcher.handle_update(decode_update(data))
 
@@ -266,6 +277,8 @@
             addresses=[self._boot.callers_address],
             threads=CALLER_THREADS,
             is_leaving=lambda: self._departure.has_started,
+            unanswered=UnansweredRequests(self._metrics),
+            is_ending=lambda: self._departure.get_stage() is Stage.ENDING,
         )
 
     def _make_status_server(self) -> GatewayServer:
@@ -281,6 +294,8 @@
             addresses=[self._boot.ready_address, self._boot.directory_address],
             threads=STATUS_THREADS,
             is_leaving=lambda: False,
+            # Operators' questions are not counted among the requests of callers.
+            unanswered=UnansweredRequests(Metrics()),
         )
 
     def _make_report(self) -> bytes:
@@ -358,7 +373,15 @@
 
 
 def run(environment: Mapping[str, str] | None = None) -> int:
-    """Run one instance until SIGTERM; return the exit code."""
+    """Run one instance until SIGTERM; return the exit code.
+
+    Notes
+    -----
+    Signals are waited for, not handled: a handler that interrupts another one, or the
+    wait itself, would wait for a lock that its own thread holds. Threads inherit the
+    mask of the main thread, so that it is set before they start.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     load = partial(load_boot, os.environ if environment is None else environment)
     with log_to_stdout() as handler:
         try:
@@ -370,11 +393,9 @@
             return EXIT_INVALID
         handler.instance = boot.instance
         gateway = Gateway(boot, SystemClock(), SystemRandomSource(), load)
-        ended = threading.Event()
-        signal.signal(signal.SIGTERM, lambda *_: ended.set())
-        signal.signal(signal.SIGHUP, lambda *_: gateway.request_reload())
         gateway.start()
-        ended.wait()
+        while signal.sigwait(SIGNALS) == signal.SIGHUP:
+            gateway.request_reload()
         gateway.leave()
         handler.flush_within(0.2)
     return 0
