Give a replacement its own time to begin

What callers saw: on a route with three attempts or more, a silent request reached a further upstream for nothing. The first replacement was ended at once unless its response was already there, and the next one was sent half a second later. Cause: a replacement was awaited until the limit of the silent attempt, which has passed by then. Only a route without a further attempt hid that: its limit is the deadline. The same holds for a replacement that goes on alone after the silent one was cut. Change: while a replacement is open, its own watch holds (AttemptDispatcher); the silent attempt's watch is restored afterwards. Why it works: the limit begins when the replacement is sent, as for any first attempt. Failed before: both tests of tests.gateway.test_replacements (three upstreams reached, two expected).

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -167,7 +167,10 @@
             self._record_silence(context, attempt, SilenceEnd.AWAITED)
             watch.mark_awaited()
             return attempt
-        successor = self._replace(context, attempt, last_event, is_stalled)
+        try:
+            successor = self._replace(context, attempt, last_event, is_stalled)
+        finally:
+            context.watch = watch
         now = self._clock.monotonic()
         if successor is attempt:
             watch.mark_searched(now)
@@ -364,6 +367,8 @@
         try:
             try:
                 self._send(context, replacement, last_event)
+                # The limit of the silent attempt has passed.
+                context.watch = self._watch_beginning(context)
                 self._read_head(context, replacement)
             finally:
                 replacement.exchange.unwatch()
--- /dev/null
+++ b/tests/gateway/test_replacements.py
@@ -0,0 +1,74 @@
+"""Tests of requests that have two attempts open, a silent one and its replacement."""
+
+import threading
+
+from tests.gateway.fake_servers import make_event
+from tests.gateway.gateway_case import ROUTES, WAIT_S, GatewayTestCase, make_table
+
+# Longest pause of the sites' streams.
+PAUSE_MS = 400
+WHOLE = b"".join(make_event(number) for number in (1, 2, 3))
+
+
+class ReplacementTest(GatewayTestCase):
+    """Guards against losing the answer of one attempt because of the other."""
+
+    attempts_max = 3
+
+    def setUp(self):
+        super().setUp()
+        self.upstreams.append(self.start_upstream("u3"))
+        changes = {"target_gap_ms": PAUSE_MS, "max_attempts": self.attempts_max}
+        routes = [{**route, **changes} for route in ROUTES]
+        self.store.put("op/config", make_table(2, routes=routes))
+        state = self.gateway._platform_state
+        self.wait_for(lambda: state.get_table().version == 2)
+        self.wait_for(lambda: state.count_upstreams("engines") == 3)
+        self.released = threading.Event()
+        self.addCleanup(self.released.set)
+        self.lock = threading.Lock()
+        self.arrived = []
+
+    def answer_in_turn(self, *scripts):
+        """Answer the n-th request by the n-th script, whichever upstream gets it."""
+
+        def answer(handler):
+            with self.lock:
+                turn = len(self.arrived)
+                self.arrived.append(handler.upstream_name)
+            scripts[min(turn, len(scripts) - 1)](handler)
+
+        self.set_script(answer, answer, answer)
+
+    def stay_silent(self, handler):
+        self.released.wait(WAIT_S)
+
+    def begin(self, handler):
+        """Send one event, and no more."""
+        handler.start_stream()
+        handler.send_event(1)
+        self.released.wait(WAIT_S)
+
+    def answer_slowly(self, handler):
+        self.released.wait(0.3)
+        handler.send_sealed()
+
+    def go_on_slowly(self, handler):
+        self.released.wait(0.3)
+        self.go_on(handler)
+
+    def go_on(self, handler):
+        handler.start_stream()
+        handler.send_event(2)
+        handler.send_event(3)
+        handler.end_stream()
+
+    def test_stream_goes_on_at_a_replacement_that_takes_time(self):
+        self.answer_in_turn(self.begin, self.go_on_slowly)
+        self.assertEqual(self.call("/stream/1")[2], WHOLE)
+        self.assertEqual(len(self.arrived), 2)
+
+    def test_lookup_goes_on_at_a_replacement_that_takes_time(self):
+        self.answer_in_turn(self.stay_silent, self.answer_slowly)
+        self.assertEqual(self.call("/safe/1")[0], 200)
+        self.assertEqual(len(self.arrived), 2)
