Keep a replacement until the silent attempt's response is read

What callers saw: 502 where a replacement was at work: the silent upstream refused the request (a full queue, a passed deadline) or sent no response of its own, and the replacement had been ended at its first byte. Cause: data on the silent connection was taken for an answer that goes on; only the end of the connection was told apart. Change: if the response of the silent attempt has not begun, its head is read before the replacement is ended (up to the 1 s that the rest of a head may take). A refusal or failure ends the silent attempt, and the replacement goes on alone. Where the silent attempt had not begun, the replacement's status is handled as that of a first attempt. Why it works: neither attempt is ended before the other one has a response.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -125,7 +125,7 @@
                 attempt.cancel()
                 raise
             successor = self.handle_silence(context, attempt, last_event)
-            if successor is not attempt:
+            if successor is not attempt or attempt.exchange.status:
                 return successor
 
     def is_silence(self, context: RequestContext, failure: ExchangeFailed) -> bool:
@@ -374,14 +374,7 @@
                 replacement.exchange.unwatch()
             check_replacement(silent, replacement)
         except OtherResponded:
-            if not silent.exchange.is_cut():
-                replacement.cancel()
-                return silent
-            silent.fail(ConnectionLost("the connection ended while it was silent"))
-            context.set_attempt(replacement)
-            chosen = self._await_head(context, replacement, last_event)
-            check_replacement(silent, chosen)
-            return chosen
+            return self._follow(context, silent, replacement, last_event)
         except ExchangeFailed as failure:
             replacement.fail(failure)
             log_failure(context, failure, self._clock)
@@ -395,6 +388,48 @@
         silent.fail(SILENCE)
         return replacement
 
+    def _follow(
+        self,
+        context: RequestContext,
+        silent: Attempt,
+        replacement: Attempt,
+        last_event: str | None,
+    ) -> Attempt:
+        """Return the silent attempt if it goes on, else what its replacement gives."""
+        has_head = bool(silent.exchange.status)
+        try:
+            goes_on = self._goes_on(context, silent)
+        except RequestError:
+            silent.cancel()
+            replacement.cancel()
+            raise
+        if goes_on:
+            replacement.cancel()
+            return silent
+        context.set_attempt(replacement)
+        chosen = self._await_head(context, replacement, last_event)
+        if has_head:
+            check_replacement(silent, chosen)
+        return chosen
+
+    def _goes_on(self, context: RequestContext, silent: Attempt) -> bool:
+        """Return whether a silent attempt goes on, now that it has data; else end it.
+
+        Notes
+        -----
+        Its first data may be a refusal, or the end of its connection.
+        """
+        try:
+            if silent.exchange.is_cut():
+                raise ConnectionLost("the connection ended while it was silent")
+            if not silent.exchange.status:
+                attempt_id = context.request.headers.attempt_id
+                silent.read_head(self._clock.monotonic(), attempt_id)
+        except ExchangeFailed as failure:
+            silent.fail(failure)
+            return False
+        return True
+
     def _record_silence(
         self, context: RequestContext, silent: Attempt, end: SilenceEnd
     ) -> None:
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -7,6 +7,7 @@
 
 # Longest pause of the sites' streams.
 PAUSE_MS = 400
+REFUSAL = [("X-Not-Executed", "1")]
 WHOLE = b"".join(make_event(number) for number in (1, 2, 3))
 
 
@@ -24,6 +25,7 @@
         state = self.gateway._platform_state
         self.wait_for(lambda: state.get_table().version == 2)
         self.wait_for(lambda: state.count_upstreams("engines") == 3)
+        self.replaced = threading.Event()
         self.released = threading.Event()
         self.addCleanup(self.released.set)
         self.lock = threading.Lock()
@@ -50,15 +52,38 @@
         self.released.wait(WAIT_S)
 
     def answer_slowly(self, handler):
+        self.replaced.set()
         self.released.wait(0.3)
         handler.send_sealed()
 
+    def refuse_late(self, handler):
+        self.replaced.wait(WAIT_S)
+        handler.send_sealed(503, b"full", REFUSAL)
+
+    def reset_late(self, handler):
+        self.replaced.wait(WAIT_S)
+        handler.reset_connection()
+
+    def answer_late(self, handler):
+        self.replaced.wait(WAIT_S)
+        handler.send_sealed(200, b"first")
+
+    def begin_slowly(self, handler):
+        self.replaced.set()
+        self.released.wait(0.3)
+        handler.start_stream()
+        handler.send_event(1)
+        self.go_on_with_head(handler)
+
     def go_on_slowly(self, handler):
         self.released.wait(0.3)
         self.go_on(handler)
 
     def go_on(self, handler):
         handler.start_stream()
+        self.go_on_with_head(handler)
+
+    def go_on_with_head(self, handler):
         handler.send_event(2)
         handler.send_event(3)
         handler.end_stream()
@@ -72,3 +97,25 @@
         self.answer_in_turn(self.stay_silent, self.answer_slowly)
         self.assertEqual(self.call("/safe/1")[0], 200)
         self.assertEqual(len(self.arrived), 2)
+
+
+class LastReplacementTest(ReplacementTest):
+    """The same on routes without a third attempt."""
+
+    attempts_max = 2
+
+    def test_lookup_that_is_refused_before_its_replacement_begins(self):
+        for end in (self.refuse_late, self.reset_late):
+            with self.subTest(end.__name__):
+                self.arrived.clear()
+                self.replaced.clear()
+                self.answer_in_turn(end, self.answer_slowly)
+                self.assertEqual(self.call("/safe/1")[0], 200)
+
+    def test_stream_that_is_refused_before_its_replacement_begins(self):
+        self.answer_in_turn(self.refuse_late, self.begin_slowly)
+        self.assertEqual(self.call("/stream/1")[2], WHOLE)
+
+    def test_lookup_that_is_answered_before_its_replacement_begins(self):
+        self.answer_in_turn(self.answer_late, self.answer_slowly)
+        self.assertEqual(self.call("/safe/1")[::2], (200, b"first"))
