End a replacement that can't continue the stream of a cut attempt

What callers saw: nothing at once. The upstream of the replacement counted one request more for ever, its connection stayed open, and the instance preferred other upstreams. Cause: where the silent attempt was cut first, the check of the replacement's response raised without ending the replacement; the stream then went on at a third upstream, and the only reference was lost. Routes with two attempts end it with the stream. Change: AttemptDispatcher ends it before the error goes on. Why it works: it is the one way out of the dispatcher that kept an open attempt. Failed before: test_load_of_a_replacement_that_fails_after_the_silent_attempt (one request still counted after 20 s).

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -408,8 +408,12 @@
             return silent
         context.set_attempt(replacement)
         chosen = self._await_head(context, replacement, last_event)
-        if has_head:
-            check_replacement(silent, chosen)
+        try:
+            if has_head:
+                check_replacement(silent, chosen)
+        except ExchangeFailed as failure:
+            chosen.fail(failure)
+            raise
         return chosen
 
     def _goes_on(self, context: RequestContext, silent: Attempt) -> bool:
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -11,8 +11,8 @@
 WHOLE = b"".join(make_event(number) for number in (1, 2, 3))
 
 
-class ReplacementTest(GatewayTestCase):
-    """Guards against losing the answer of one attempt because of the other."""
+class ReplacementCase(GatewayTestCase):
+    """Starts an instance with three upstreams that answer in turn."""
 
     attempts_max = 3
 
@@ -88,6 +88,26 @@
         handler.send_event(3)
         handler.end_stream()
 
+    def count_running(self):
+        """Return the requests that the instance counts at its upstreams."""
+        own = self.gateway._selector._loads._own
+        return {name: load.running for name, load in own.items()}
+
+    def begin_and_reset_late(self, handler):
+        handler.start_stream()
+        handler.send_event(1)
+        self.replaced.wait(WAIT_S)
+        handler.reset_connection()
+
+    def fail_slowly(self, handler):
+        self.replaced.set()
+        self.released.wait(0.3)
+        handler.send_sealed(500, b"failed")
+
+
+class ReplacementTest(ReplacementCase):
+    """Guards against losing the answer of one attempt because of the other."""
+
     def test_stream_goes_on_at_a_replacement_that_takes_time(self):
         self.answer_in_turn(self.begin, self.go_on_slowly)
         self.assertEqual(self.call("/stream/1")[2], WHOLE)
@@ -119,3 +139,12 @@
     def test_lookup_that_is_answered_before_its_replacement_begins(self):
         self.answer_in_turn(self.answer_late, self.answer_slowly)
         self.assertEqual(self.call("/safe/1")[::2], (200, b"first"))
+
+
+class FailedReplacementTest(ReplacementCase):
+    """Guards against attempts that nothing ends."""
+
+    def test_load_of_a_replacement_that_fails_after_the_silent_attempt(self):
+        self.answer_in_turn(self.begin_and_reset_late, self.fail_slowly, self.go_on)
+        self.assertEqual(self.call("/stream/1")[2], WHOLE)
+        self.wait_for(lambda: not self.count_running())
