Probe silent upstreams without holding up other requests

What callers saw: when several upstreams were cut off at once, all silent streams of an instance waited for each other's connections, beyond their deadlines and without noticing that their callers had left. Cause: one lock was held while a connection was opened, up to 0.3 s each. A result holds for 0.5 s, so that with more than one upstream out of reach results expired in the queue and were found anew for each stream. Change: the lock covers the table of results only; streams of the same upstream wait for the one connection that is being opened. Why it works: nobody waits longer than one connection may take. Failed before: test_upstream_beside_one_that_is_cut_off.

--- a/src/fescueflow/gateway/reachability.py
+++ b/src/fescueflow/gateway/reachability.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import logbook
 
@@ -16,18 +16,20 @@
 
 # Limit for a new connection: several round trips between availability zones.
 CONNECT_TIMEOUT_S = 0.3
-# Time for which a result also holds for the other silent streams of the upstream.
+# Time from the start of a probe for which its result also holds for the other silent
+# streams of the upstream.
 RESULT_AGE_MAX_S = 0.5
 
 log = logbook.Logger("reachability")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ProbeResult:
-    """Whether an upstream took a connection, and when."""
+    """Whether an upstream took a connection; known when ``is_known`` is set."""
 
-    is_reachable: bool
-    at: float
+    started_at: float
+    is_reachable: bool = False
+    is_known: threading.Event = field(default_factory=threading.Event)
 
 
 class ReachabilityProbe:
@@ -54,12 +56,18 @@
             self._results = {
                 name: result
                 for name, result in self._results.items()
-                if now - result.at < RESULT_AGE_MAX_S
+                if now - result.started_at < RESULT_AGE_MAX_S
             }
-            result = self._results.get(upstream.id)
-            if result is None:
-                result = ProbeResult(self._connect(upstream), self._clock.monotonic())
-                self._results[upstream.id] = result
+            known = self._results.get(upstream.id)
+            result = known or ProbeResult(now)
+            self._results[upstream.id] = result
+        if known is None:
+            try:
+                result.is_reachable = self._connect(upstream)
+            finally:
+                result.is_known.set()
+        # Only the streams of the same upstream wait, as long as its connection takes.
+        result.is_known.wait()
         return result.is_reachable
 
     def _connect(self, upstream: Upstream) -> bool:
