Give back the retry of a search that sends nothing

What callers saw: other requests of the instance that failed were not sent again, since the retry budget had been used up by silent ones: two retries a second for each silent request without an upstream to go to (all tried, paused or not listed). Cause: a retry is taken from the budget before an upstream is looked for, and searches are repeated each half second. Change: AttemptDispatcher gives the retry back if the search ends with nothing sent (RetryBudget.give_back). Why it works: the rule counts arrivals at upstreams; a search without one is none. Failed before: RetryBudgetTest.test_searches_in_vain in tests.gateway.test_replacements (5 retries counted in a pause of 5 s, 0 expected). Result: tests.gateway.test_replacements 9 of 9, tests.routing.test_retries and test_silence pass.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -344,16 +344,19 @@
         self, context: RequestContext, last_event: str | None
     ) -> Attempt | None:
         """Return an attempt at another upstream, ``None`` if there can be none."""
-        failure = SILENCE
+        failure, is_counted = SILENCE, False
         while True:
             try:
                 self.check_retry(context, failure)
+                is_counted = True
                 return self._connect(context, last_event)
             except ExchangeFailed as next_failure:
                 failure = next_failure
                 log_failure(context, failure, self._clock)
             except RequestError as error:
                 log.debug("no replacement: {!r}", error)
+                if is_counted:
+                    self._selector.give_back_retry(context.service)
                 return None
 
     def _await_either(
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -140,6 +140,11 @@
                 service, now, self._peers.count_carrying(now)
             )
 
+    def give_back_retry(self, service: ServiceId) -> None:
+        """Return a retry to the budget, as nothing was sent."""
+        with self._lock:
+            self._retry_budget.give_back(service)
+
     def record_success(self, upstream: UpstreamId) -> None:
         """Record a response of an upstream."""
         with self._lock:
--- a/src/fescueflow/routing/retries.py
+++ b/src/fescueflow/routing/retries.py
@@ -96,6 +96,11 @@
         retries.append(now)
         return True
 
+    def give_back(self, service: ServiceId) -> None:
+        """Count one retry less, as nothing was sent."""
+        if retries := self._retries.get(service):
+            retries.pop()
+
     def _trim(
         self, uses: dict[ServiceId, deque[float]], service: ServiceId, now: float
     ) -> deque[float]:
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -148,3 +148,23 @@
         self.answer_in_turn(self.begin_and_reset_late, self.fail_slowly, self.go_on)
         self.assertEqual(self.call("/stream/1")[2], WHOLE)
         self.wait_for(lambda: not self.count_running())
+
+
+class RetryBudgetTest(ReplacementCase):
+    """Guards against retries that are counted though nothing is sent."""
+
+    def test_searches_in_vain(self):
+        for name in ("u2", "u3"):
+            self.store.put(f"servers/{name}", None)
+        state = self.gateway._platform_state
+        self.wait_for(lambda: state.count_upstreams("engines") == 1)
+        self.answer_in_turn(self.begin_and_go_on_late)
+        self.assertEqual(self.call("/stream/1")[2], WHOLE)
+        budget = self.gateway._selector._retry_budget
+        self.assertFalse(budget._retries.get("engines"))
+
+    def begin_and_go_on_late(self, handler):
+        handler.start_stream()
+        handler.send_event(1)
+        self.released.wait(5.0)
+        self.go_on_with_head(handler)
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -52,6 +52,15 @@
             total = 9 * self.count(requests, 9)
             self.assertLessEqual(total, 0.2 * requests * 9 + 50)
 
+    def test_retry_that_is_given_back(self):
+        budget = RetryBudget(0.0, 10, 10.0)
+        budget.give_back(SERVICE)
+        for _ in range(20):
+            self.assertTrue(budget.try_take(SERVICE, 0.0, 1))
+            budget.give_back(SERVICE)
+        self.assertTrue(all(budget.try_take(SERVICE, 0.0, 1) for _ in range(7)))
+        self.assertFalse(budget.try_take(SERVICE, 0.0, 1))
+
     def test_window_slides(self):
         budget = RetryBudget(0.0, 10, 10.0)
         self.assertTrue(all(budget.try_take(SERVICE, 0.0, 1) for _ in range(7)))
