Keep the replacement of a stream whose first upstream fails late

What callers saw: status 500 of the silent upstream although a replacement was at work. Before the stream was whole. Cause: any response head of the silent attempt ended its replacement. A stream with a server error is otherwise sent once more. Change: a server error of the silent attempt of a stream ends that attempt, and the replacement goes on alone. Lookups get the error, as before: they fail at one upstream as often as at another. Why it works: the failed attempt is known to be over, the replacement may succeed. Failed before: a trial of this case on (500; on the whole stream); test_stream_that_fails_before_its_replacement_begins.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -424,7 +424,8 @@
 
         Notes
         -----
-        Its first data may be a refusal, or the end of its connection.
+        Its first data may be a refusal, or the end of its connection. Failures of
+        engines are mostly random, so that the replacement may succeed.
         """
         try:
             if silent.exchange.is_cut():
@@ -432,6 +433,12 @@
             if not silent.exchange.status:
                 attempt_id = context.request.headers.attempt_id
                 silent.read_head(self._clock.monotonic(), attempt_id)
+                status = silent.exchange.status
+                is_stream = context.route.kind is RouteKind.STREAM
+                if is_stream and status >= SERVER_ERROR_MIN:
+                    raise ExchangeFailed(
+                        AttemptFailure.SERVER_ERROR, f"status {status}"
+                    )
         except ExchangeFailed as failure:
             silent.fail(failure)
             return False
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -60,6 +60,10 @@
         self.replaced.wait(WAIT_S)
         handler.send_sealed(503, b"full", REFUSAL)
 
+    def fail_late(self, handler):
+        self.replaced.wait(WAIT_S)
+        handler.send_sealed(500, b"failed")
+
     def reset_late(self, handler):
         self.replaced.wait(WAIT_S)
         handler.reset_connection()
@@ -136,6 +140,15 @@
         self.answer_in_turn(self.refuse_late, self.begin_slowly)
         self.assertEqual(self.call("/stream/1")[2], WHOLE)
 
+    def test_stream_that_fails_before_its_replacement_begins(self):
+        self.answer_in_turn(self.fail_late, self.begin_slowly)
+        self.assertEqual(self.call("/stream/1")[2], WHOLE)
+
+    def test_lookup_that_fails_before_its_replacement_begins(self):
+        """Lookups that fail at one application fail as often at another."""
+        self.answer_in_turn(self.fail_late, self.answer_slowly)
+        self.assertEqual(self.call("/safe/1")[::2], (500, b"failed"))
+
     def test_lookup_that_is_answered_before_its_replacement_begins(self):
         self.answer_in_turn(self.answer_late, self.answer_slowly)
         self.assertEqual(self.call("/safe/1")[::2], (200, b"first"))
