Pass on the error that answers a lookup's replacement

Cause: a server error of a replacement counted as no response. Elsewhere lookups are not sent again after one. Change: only streams check the status of a replacement (AttemptDispatcher). Why it works: the answer of whichever upstream responds first is passed on, as without a silence.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -375,7 +375,8 @@
                 self._read_head(context, replacement)
             finally:
                 replacement.exchange.unwatch()
-            check_replacement(silent, replacement)
+            if context.route.kind is RouteKind.STREAM:
+                check_replacement(silent, replacement)
         except OtherResponded:
             return self._follow(context, silent, replacement, last_event)
         except ExchangeFailed as failure:
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -149,6 +149,11 @@
         self.answer_in_turn(self.fail_late, self.answer_slowly)
         self.assertEqual(self.call("/safe/1")[::2], (500, b"failed"))
 
+    def test_lookup_whose_replacement_fails(self):
+        fail = lambda handler: handler.send_sealed(500, b"failed")  # noqa: E731
+        self.answer_in_turn(self.stay_silent, fail)
+        self.assertEqual(self.call("/safe/1")[::2], (500, b"failed"))
+
     def test_lookup_that_is_answered_before_its_replacement_begins(self):
         self.answer_in_turn(self.answer_late, self.answer_slowly)
         self.assertEqual(self.call("/safe/1")[::2], (200, b"first"))
