--- a/tests/gateway/test_silent_upstreams.py
+++ b/tests/gateway/test_silent_upstreams.py
@@ -6,7 +6,7 @@
 from tests.gateway.fake_servers import make_event
 from tests.gateway.gateway_case import ROUTES, WAIT_S, GatewayTestCase, make_table
 
-# Longest pause of streams that are on time; callers leave after eight times this, 4.8 s.
+# Longest pause of streams on time; callers leave after eight times this.
 PAUSE_MS = 600
 # Pauses within that gap, and beyond the time at which a replacement is looked for.
 SHORT_PAUSE_S = 2.5
