Ask only connections that linger whether they do

The server's loop asks each connection in each of its turns whether it reads or writes. The check for the few that linger after their answer stood in all of these calls; it is now put in place when a connection begins to linger. Nothing else changes.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -272,26 +272,6 @@
         """Whether the answers are written and further input is discarded."""
         return self._linger_until is not None
 
-    def readable(self) -> bool:
-        """Return whether input is taken; close the connection after lingering."""
-        if self._linger_until is None:
-            return bool(super().readable())
-        if time.monotonic() >= self._linger_until:
-            self._end()
-            return False
-        return True
-
-    def writable(self) -> bool:
-        """Return whether the server's loop has to write or to close."""
-        return self._linger_until is None and bool(super().writable())
-
-    def handle_read(self) -> None:
-        """Take input, which is discarded while the connection lingers."""
-        if self._linger_until is None:
-            super().handle_read()
-        elif not self.recv(LINGER_READ_BYTES):
-            self._end()
-
     def handle_close(self) -> None:
         """Close the connection and record the requests that it leaves unanswered.
 
@@ -302,12 +282,30 @@
         are written is therefore read first.
         """
         if self._linger_until is None and self._has_unread_input():
-            self._linger_until = time.monotonic() + LINGER_S
-            with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_WR)
+            self._linger()
             return
         self._end()
 
+    def _linger(self) -> None:
+        self._linger_until = time.monotonic() + LINGER_S
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+        # The loop asks each connection in each turn: those that serve take no detour.
+        self.readable = self._check_lingering
+        self.writable = lambda: False
+        self.handle_read = self._discard_input
+
+    def _check_lingering(self) -> bool:
+        """Return whether input is taken; close the connection after the time for it."""
+        if self._linger_until is not None and time.monotonic() < self._linger_until:
+            return True
+        self._end()
+        return False
+
+    def _discard_input(self) -> None:
+        if not self.recv(LINGER_READ_BYTES):
+            self._end()
+
     def _has_unread_input(self) -> bool:
         is_orderly = self.will_close and self.connected and not self.total_outbufs_len
         return is_orderly and not self.is_reset and has_data(self.socket)
