--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -70,8 +70,19 @@
     blend_reports,
     correct_running,
 )
-from fescueflow.routing.retries import AttemptFailure, RetryBudget, may_retry
+from fescueflow.routing.retries import (
+    AttemptFailure,
+    RetryBudget,
+    RetryDenial,
+    may_retry,
+)
 from fescueflow.routing.selection import choose_service, find_customer, find_route
+from fescueflow.routing.silence import (
+    SUSPICION_S,
+    SilenceWatch,
+    compute_first_byte_wait,
+    compute_patience,
+)
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
 __all__ = [
@@ -80,6 +91,7 @@
     "RELAY_DELAY_MAX_S",
     "SETTLED_AGE_S",
     "SURVIVAL_S",
+    "SUSPICION_S",
     "AdmissionDecision",
     "AttemptFailure",
     "BalanceBound",
@@ -108,12 +120,14 @@
     "Prompt",
     "Quarantine",
     "RetryBudget",
+    "RetryDenial",
     "Route",
     "RouteId",
     "RouteKind",
     "RoutingTable",
     "Service",
     "ServiceId",
+    "SilenceWatch",
     "UnknownKey",
     "UnprovenAnswers",
     "Upstream",
@@ -124,6 +138,8 @@
     "blend_reports",
     "choose_service",
     "collect_evidence",
+    "compute_first_byte_wait",
+    "compute_patience",
     "correct_running",
     "count_independent",
     "decide_admission",
