Wait for idle threads in the test of a thread that can't start

The test took for granted that the dispatcher's first two threads were waiting when it gave them tasks. Once, beside other tests at a load average above 10, a third was started before that ("3 != 2").

--- a/tests/gateway/test_threads.py
+++ b/tests/gateway/test_threads.py
@@ -102,6 +102,11 @@
     def test_thread_that_can_not_be_started(self):
         """The machine's limit of threads holds for all of its processes."""
         tasks = [BlockingTask() for _ in range(4)]
+        # Until its first threads wait, the dispatcher starts others.
+        deadline = time.monotonic() + WAIT_S
+        while self.dispatcher.active_count:
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.01)
         for task in tasks[:THREADS_MIN]:
             self.dispatcher.add_task(task)
             self.assertTrue(task.started.wait(WAIT_S))
