Compare lost requests of the process soak with the instances' log and counter

Cause: whether the line and the counter of unanswered requests tell what callers saw was not checked in any soak. Change: each run's line has the causes that were logged, the counter by cause, and the ids that only one side knows. The counter is read about once a second, so that the end of a process is missing in it (6 of 7 deadlines on seed 102).

--- a/tests/gateway/process_fleet.py
+++ b/tests/gateway/process_fleet.py
@@ -121,7 +121,7 @@
     unasked_ends: list = field(default_factory=list)
     # Times at which a planned stop had outlasted its grace period.
     overstays: list = field(default_factory=list)
-    # Last value of the counter of unanswered requests, by process.
+    # Last values of the counter of unanswered requests, by process and labels.
     unanswered: dict = field(default_factory=dict)
     is_stopping: bool = False
     # Whether a planned stop is under way, from its preparation to the next start.
@@ -248,7 +248,8 @@
         process = self.process.pid
         for line in self.get("ready", "/metrics")[1].decode().splitlines():
             if line.startswith(UNANSWERED):
-                self.unanswered[process] = float(line.split()[-1])
+                name, _, count = line.rpartition(" ")
+                self.unanswered[process, name] = float(count)
 
 
 class ProcessFleet:
@@ -360,4 +361,4 @@
             continue
 
 
-__all__ = ["GRACE_S", "OUTPUTS", "InstanceProcess", "ProcessFleet"]
+__all__ = ["GRACE_S", "OUTPUTS", "UNANSWERED", "InstanceProcess", "ProcessFleet"]
--- a/tests/gateway/process_soak.py
+++ b/tests/gateway/process_soak.py
@@ -17,9 +17,9 @@
 
 from tests.gateway.fake_servers import FakeStore
 from tests.gateway.pausing_upstreams import Hearing, PausingUpstream
-from tests.gateway.process_fleet import OUTPUTS, ZONES, ProcessFleet
+from tests.gateway.process_fleet import OUTPUTS, UNANSWERED, ZONES, ProcessFleet
 from tests.gateway.soak_callers import ROUTES, Caller
-from tests.gateway.soak_rules import EXCUSES, Judge
+from tests.gateway.soak_rules import EXCUSES, Judge, Loss
 from tests.gateway.soak_troubles import TROUBLES, draw_plan
 
 INSTANCES = (9, 8)
@@ -250,8 +250,13 @@
             if line.get("channel") == "process"
             and line.get("instance") in findings.overstays
         ]
-        counts = [i.unanswered for i in self.fleet.instances if i.unanswered]
-        self.unanswered = sum(sum(c.values()) for c in counts) if counts else None
+        self.counted, self.told = Counter(), {}
+        for instance in self.fleet.instances:
+            for (_, name), count in instance.unanswered.items():
+                self.counted[name.removeprefix(UNANSWERED)] += int(count)
+        for name, lines in logs.items():
+            causes = [x["cause"] for x in lines if x.get("message") == "unanswered"]
+            self.told.update({name: causes[0]} if causes else {})
 
     def _close(self):
         self.fleet.close()
@@ -282,12 +287,35 @@
         "false_refusals": len(findings.false_refusals),
         "worked_on": worked_on,
         "mixed": findings.mixed[:LOGGED_MAX],
-        "counter": soak.unanswered,
+        "counter": dict(soak.counted),
+        **compare_logs(soak, findings),
         "breaches": findings.list_breaches(),
     }
     return " ".join(f"{name}={value}" for name, value in entry.items())
 
 
+def compare_logs(soak, findings):
+    """Return the difference between what callers saw and what instances logged.
+
+    Notes
+    -----
+    Requests that crossed the close may not have been read, and a caller that leaves
+    sees no loss.
+    """
+    seen = {
+        attempt.id
+        for loss, found in findings.lost.items()
+        for attempt in found
+        if loss is not Loss.CROSSED
+    }
+    told = {name for name, cause in soak.told.items() if cause != "caller_left"}
+    return {
+        "told": dict(Counter(soak.told.values())),
+        "seen_not_told": sorted(seen - told)[:LOGGED_MAX] if told else len(seen),
+        "told_not_seen": sorted(told - seen)[:LOGGED_MAX],
+    }
+
+
 def print_losses(soak, findings):
     """Print the lost requests with the last log lines of their instance."""
     kept = ("time", "message", "end", "why", "events", "upstream", "left_ms", "status")
