--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -125,7 +125,7 @@
                 attempt.cancel()
                 raise
             successor = self.handle_silence(context, attempt, last_event)
-            if successor is not attempt:
+            if successor is not attempt or attempt.exchange.status:
                 return successor
 
     def is_silence(self, context: RequestContext, failure: ExchangeFailed) -> bool:
@@ -167,7 +167,10 @@
             self._record_silence(context, attempt, SilenceEnd.AWAITED)
             watch.mark_awaited()
             return attempt
-        successor = self._replace(context, attempt, last_event, is_stalled)
+        try:
+            successor = self._replace(context, attempt, last_event, is_stalled)
+        finally:
+            context.watch = watch
         now = self._clock.monotonic()
         if successor is attempt:
             watch.mark_searched(now)
@@ -204,13 +207,13 @@
 
         Notes
         -----
-        A lookup may run at two upstreams. An upstream that answers others has lost a
-        request that has not begun, or has it in its queue: another one may be faster.
+        A lookup may run at two upstreams. An upstream that has gone on with others in
+        the meantime has lost the connection or the request, or has put it back.
         """
         if context.route.kind is not RouteKind.STREAM:
             return False
         upstream = attempt.selection.upstream
-        if not attempt.has_begun and self._client.is_active(upstream):
+        if self._client.get_active_at(upstream) > context.watch.quiet_since:
             return False
         return self._probe.is_reachable(upstream)
 
@@ -341,16 +344,19 @@
         self, context: RequestContext, last_event: str | None
     ) -> Attempt | None:
         """Return an attempt at another upstream, ``None`` if there can be none."""
-        failure = SILENCE
+        failure, is_counted = SILENCE, False
         while True:
             try:
                 self.check_retry(context, failure)
+                is_counted = True
                 return self._connect(context, last_event)
             except ExchangeFailed as next_failure:
                 failure = next_failure
                 log_failure(context, failure, self._clock)
             except RequestError as error:
                 log.debug("no replacement: {!r}", error)
+                if is_counted:
+                    self._selector.give_back_retry(context.service)
                 return None
 
     def _await_either(
@@ -364,19 +370,15 @@
         try:
             try:
                 self._send(context, replacement, last_event)
+                # The limit of the silent attempt has passed.
+                context.watch = self._watch_beginning(context)
                 self._read_head(context, replacement)
             finally:
                 replacement.exchange.unwatch()
-            check_replacement(silent, replacement)
+            if context.route.kind is RouteKind.STREAM:
+                check_replacement(silent, replacement)
         except OtherResponded:
-            if not silent.exchange.is_cut():
-                replacement.cancel()
-                return silent
-            silent.fail(ConnectionLost("the connection ended while it was silent"))
-            context.set_attempt(replacement)
-            chosen = self._await_head(context, replacement, last_event)
-            check_replacement(silent, chosen)
-            return chosen
+            return self._follow(context, silent, replacement, last_event)
         except ExchangeFailed as failure:
             replacement.fail(failure)
             log_failure(context, failure, self._clock)
@@ -390,6 +392,59 @@
         silent.fail(SILENCE)
         return replacement
 
+    def _follow(
+        self,
+        context: RequestContext,
+        silent: Attempt,
+        replacement: Attempt,
+        last_event: str | None,
+    ) -> Attempt:
+        """Return the silent attempt if it goes on, else what its replacement gives."""
+        has_head = bool(silent.exchange.status)
+        try:
+            goes_on = self._goes_on(context, silent)
+        except RequestError:
+            silent.cancel()
+            replacement.cancel()
+            raise
+        if goes_on:
+            replacement.cancel()
+            return silent
+        context.set_attempt(replacement)
+        chosen = self._await_head(context, replacement, last_event)
+        try:
+            if has_head:
+                check_replacement(silent, chosen)
+        except ExchangeFailed as failure:
+            chosen.fail(failure)
+            raise
+        return chosen
+
+    def _goes_on(self, context: RequestContext, silent: Attempt) -> bool:
+        """Return whether a silent attempt goes on, now that it has data; else end it.
+
+        Notes
+        -----
+        Its first data may be a refusal, or the end of its connection. Failures of
+        engines are mostly random, so that the replacement may succeed.
+        """
+        try:
+            if silent.exchange.is_cut():
+                raise ConnectionLost("the connection ended while it was silent")
+            if not silent.exchange.status:
+                attempt_id = context.request.headers.attempt_id
+                silent.read_head(self._clock.monotonic(), attempt_id)
+                status = silent.exchange.status
+                is_stream = context.route.kind is RouteKind.STREAM
+                if is_stream and status >= SERVER_ERROR_MIN:
+                    raise ExchangeFailed(
+                        AttemptFailure.SERVER_ERROR, f"status {status}"
+                    )
+        except ExchangeFailed as failure:
+            silent.fail(failure)
+            return False
+        return True
+
     def _record_silence(
         self, context: RequestContext, silent: Attempt, end: SilenceEnd
     ) -> None:
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -2,23 +2,21 @@
 
 import contextlib
 import logging
-import select
-import socket
-import struct
 import threading
 import time
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
+import logbook
+from logbook.compat import RedirectLoggingHandler
 from waitress import create_server
-from waitress.task import WSGITask
 from waitress.wasyncore import close_all, dispatcher
 
-from fescueflow.gateway.application import REQUEST_URI
+from fescueflow.gateway.channels import has_data, make_channel_class
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.threads import GrowingDispatcher
-from fescueflow.http1 import DirectChannel
+from fescueflow.gateway.unanswered import UnansweredRequests
 
 # Above the limits that operators configure, which are checked once the configuration
 # is known.
@@ -35,9 +33,16 @@
 CALLER_THREADS = 128
 STATUS_THREADS = 2
 POLL_INTERVAL_S = 0.02
-# Value of SO_LINGER with which a connection is reset when it is closed.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STOP_TIMEOUT_S = 0.1
+# Pause after a connection could not be accepted, for descriptors to be released.
+ACCEPT_PAUSE_S = 0.1
+LOOP_ERROR = "unexpected error in the server's loop"
+# Time without a byte after which a stop no longer waits for the rest of a request, or
+# for the first one of a connection: TCP resends a lost packet sooner.
+REST_WAIT_S = 1.0
+
+
+log = logbook.Logger("server")
 
 
 def is_unexpected(record: logging.LogRecord) -> bool:
@@ -46,60 +51,104 @@
     return not isinstance(cause, StreamBroken)
 
 
-class GatewayTask(WSGITask):
-    """Keeps the raw request target and closes connections while leaving."""
+def run_in_loop(listener: Any, action: Callable[[], None]) -> None:
+    """Run an action in the server's loop; do nothing if the loop has ended."""
 
-    is_leaving: Callable[[], bool] = staticmethod(lambda: False)
+    def run() -> None:
+        try:
+            action()
+        except Exception:  # noqa: BLE001
+            log.exception(LOOP_ERROR)
 
-    def get_environment(self) -> dict[str, Any]:
-        """Return the environment with the request target as the caller sent it."""
-        environ: dict[str, Any] = super().get_environment()
-        environ[REQUEST_URI] = self.request.request_uri
-        return environ
+    # The trigger is closed once the loop has ended.
+    with contextlib.suppress(OSError):
+        listener.trigger.pull_trigger(run)
 
-    def execute(self) -> None:
-        """Run the application; reset the connection of a broken response.
 
-        Notes
-        -----
-        A caller of HTTP/1.0 gets neither a length nor chunks, and would take the end of
-        the connection for the end of the response.
-        """
+def pause_after_errors(listener: Any) -> None:
+    """Let a listener go on after an error, at a pace that leaves time for requests.
+
+    Notes
+    -----
+    Without free descriptors, a connection stays in the backlog: the server's loop would
+    try it again at once and without end. Any other error would close the listener.
+    """
+    handle_accept, readable = listener.handle_accept, listener.readable
+    paused_until = 0.0
+
+    def accept() -> Any:
+        nonlocal paused_until
+        try:
+            return type(listener).accept(listener)
+        except OSError as error:
+            log.error("no connection accepted: {}", error)
+            paused_until = time.monotonic() + ACCEPT_PAUSE_S
+            return None
+
+    def accept_safely() -> None:
         try:
-            super().execute()
-        except StreamBroken:
-            if not self.chunked_response:
-                self.channel.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-            raise
+            handle_accept()
+        except Exception:  # noqa: BLE001
+            log.exception("unexpected error with a new connection")
 
-    def build_response_header(self) -> bytes:
-        """Return the head; while leaving, the connection closes after the response."""
-        if self.is_leaving():
-            self.set_close_on_finish()
-        head: bytes = super().build_response_header()
-        return head
+    def is_readable() -> bool:
+        return bool(readable()) and time.monotonic() >= paused_until
 
+    listener.accept = accept
+    listener.handle_accept = accept_safely
+    listener.readable = is_readable
 
-def make_channel_class(is_leaving: Callable[[], bool]) -> type[DirectChannel]:
-    """Return the channel class for the connections of one server."""
-    task = type("Task", (GatewayTask,), {"is_leaving": staticmethod(is_leaving)})
-    return type("Channel", (DirectChannel,), {"task_class": task})
 
+def redirect_server_log() -> None:
+    """Pass the messages of the HTTP server on to the log, which blocks no thread.
 
-def run_in_loop(listener: Any, action: Callable[[], None]) -> None:
-    """Run an action in the server's loop; do nothing if the loop has ended."""
-    # The trigger is closed once the loop has ended.
-    with contextlib.suppress(OSError):
-        listener.trigger.pull_trigger(action)
+    Notes
+    -----
+    Without a handler they go to standard error: the thread that logs, which may be the
+    server's loop, waits there for a reader.
+    """
+    server_log = logging.getLogger("waitress")
+    server_log.addFilter(is_unexpected)
+    server_log.propagate = False
+    if not server_log.handlers:
+        server_log.addHandler(RedirectLoggingHandler())
+    # Waitress logs a warning for each request that waits for a thread.
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+
+
+def close_unused(listener: Any, _: float) -> None:
+    """Close connections that have been idle for long; runs in the server's loop.
+
+    Notes
+    -----
+    In place of the HTTP library's, which compares readings of the wall clock: one step
+    of it closed all connections that were idle or whose answers were not taken yet.
+    """
+    cutoff = time.monotonic() - IDLE_TIMEOUT_S
+    for channel in listener.active_channels.values():
+        if (
+            not channel.requests
+            and max(channel.received_at, channel.answered_at) < cutoff
+        ):
+            channel.will_close = True
+
+
+def awaits_rest(channel: Any) -> bool:
+    """Return whether a request, or the rest of one, may be on its way."""
+    if channel.request is None and not channel.is_new:
+        return False
+    return bool(time.monotonic() - channel.received_at < REST_WAIT_S)
 
 
-def has_data(connection: Any) -> bool:
-    """Return whether a socket has a connection or data to read."""
-    poll = select.poll()
-    poll.register(connection, select.POLLIN)
-    return bool(poll.poll(0))
+def is_pending(channel: Any) -> bool:
+    """Return whether a request of a connection is not read whole or not answered."""
+    return bool(
+        channel.requests
+        or channel.total_outbufs_len
+        or channel.is_lingering
+        or awaits_rest(channel)
+        or has_data(channel.socket)
+    )
 
 
 def close_listener(listener: Any) -> None:
@@ -122,16 +171,20 @@
 
     Notes
     -----
-    A connection with unread data is left open: its request is served, and the response
-    closes it.
+    The request of a connection with unread data is served, and the response closes it.
     """
     for channel in list(listener.active_channels.values()):
-        if channel.requests or channel.total_outbufs_len or channel.request:
-            continue
-        if not has_data(channel.socket):
+        if channel.request is None and not is_pending(channel):
             channel.handle_close()
 
 
+def cut_all(listeners: list[Any]) -> None:
+    """Close all connections; runs in the server's loop."""
+    for listener in listeners:
+        for channel in list(listener.active_channels.values()):
+            channel.cut()
+
+
 class GatewayServer:
     """Serves a WSGI application on one or more addresses.
 
@@ -143,6 +196,9 @@
         Largest number of worker threads.
     is_leaving : callable
         Returns whether connections close after their next response.
+    unanswered : UnansweredRequests
+    is_ending : callable, optional
+        Returns whether the grace period of a planned stop is about to end.
     """
 
     def __init__(
@@ -152,10 +208,12 @@
         addresses: list[str],
         threads: int,
         is_leaving: Callable[[], bool],
+        unanswered: UnansweredRequests,
+        is_ending: Callable[[], bool] = lambda: False,
     ) -> None:
-        logging.getLogger("waitress").addFilter(is_unexpected)
-        # Waitress logs a warning for each request that waits for a thread.
-        logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+        redirect_server_log()
+        # Set when the listeners are closed and all of their backlogs is taken.
+        self._closed = threading.Event()
         self._map: dict[int, Any] = {}
         self._dispatcher = GrowingDispatcher(threads)
         self._dispatcher.set_thread_count(threads)
@@ -173,44 +231,72 @@
             outbuf_high_watermark=OUTPUT_HIGH_WATERMARK_BYTES,
             # Without lookahead, a disconnect is only noticed when the response ends.
             channel_request_lookahead=1,
-            channel_timeout=IDLE_TIMEOUT_S,
             clear_untrusted_proxy_headers=False,
             asyncore_use_poll=True,
             ident=None,
         )
-        channel_class = make_channel_class(is_leaving)
+        channel_class = make_channel_class(is_leaving, is_ending, unanswered)
         # Each address has its own server in the map.
         self._listeners = [
             entry for entry in self._map.values() if hasattr(entry, "active_channels")
         ]
         for listener in self._listeners:
             listener.channel_class = channel_class
+            listener.maintenance = partial(close_unused, listener)
+            pause_after_errors(listener)
         self._thread = threading.Thread(
-            target=self._server.run, name=addresses[0], daemon=True
+            target=self._serve, name=addresses[0], daemon=True
         )
 
     def start(self) -> None:
         """Accept connections."""
         self._thread.start()
 
+    def _serve(self) -> None:
+        """Run the server's loop until all of its connections are closed."""
+        while self._map:
+            try:
+                self._server.run()
+            except Exception:  # noqa: BLE001
+                # Without this thread, no connection would be served any more.
+                log.exception(LOOP_ERROR)
+                time.sleep(POLL_INTERVAL_S)
+
     def close_listeners(self) -> None:
-        """Stop accepting connections, and close those without a pending request."""
+        """Stop accepting connections, and close those without a pending request.
+
+        Notes
+        -----
+        The server's loop does so soon; ``wait_idle`` waits for it.
+        """
         for listener in self._listeners:
             run_in_loop(listener, partial(close_listener, listener))
             run_in_loop(listener, partial(close_idle, listener))
+        run_in_loop(self._listeners[-1], self._closed.set)
 
     def count_pending(self) -> int:
-        """Return the number of connections with an unfinished response."""
+        """Return the number of connections with a pending request."""
         channels = [
             channel
             for listener in self._listeners
             for channel in list(listener.active_channels.values())
         ]
-        return sum(bool(c.requests or c.total_outbufs_len) for c in channels)
+        return sum(map(is_pending, channels))
 
     def wait_idle(self, deadline: float) -> bool:
-        """Wait until all responses are finished; return whether they are."""
-        while self.count_pending():
+        """Wait until the listeners are closed and all responses are finished.
+
+        Parameters
+        ----------
+        deadline : float
+            On the monotonic clock in seconds.
+
+        Returns
+        -------
+        bool
+            Whether they are.
+        """
+        while not self._closed.is_set() or self.count_pending():
             if time.monotonic() >= deadline:
                 return False
             time.sleep(POLL_INTERVAL_S)
@@ -218,6 +304,7 @@
 
     def stop(self) -> None:
         """Close all connections and listeners."""
+        run_in_loop(self._listeners[0], partial(cut_all, self._listeners))
         run_in_loop(self._listeners[0], lambda: close_all(self._map, True))
         self._thread.join(STOP_TIMEOUT_S)
 
--- a/tests/gateway/test_threads.py
+++ b/tests/gateway/test_threads.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from fescueflow.gateway.threads import THREADS_MIN, GrowingDispatcher
 from tests.gateway.gateway_case import WAIT_S, GatewayTestCase
@@ -67,6 +68,54 @@
         self.assertTrue(last[1].started.wait(WAIT_S))
 
 
+class FailingTask(BlockingTask):
+    """Task that ends its thread's work by an error that is no ``Exception``."""
+
+    def __init__(self):
+        super().__init__()
+        self.cancelled = threading.Event()
+
+    def service(self):
+        raise SystemExit("unforeseen")
+
+    def cancel(self):
+        self.cancelled.set()
+
+
+class FailingThreadTest(unittest.TestCase):
+    """Guards against requests that hang because of an error of their thread."""
+
+    def setUp(self):
+        self.dispatcher = GrowingDispatcher(8, idle_s=0.05)
+        self.dispatcher.set_thread_count(8)
+        self.addCleanup(self.dispatcher.shutdown)
+
+    def test_task_that_fails_is_cancelled(self):
+        task, later = FailingTask(), BlockingTask()
+        self.dispatcher.logger = mock.Mock()
+        self.dispatcher.add_task(task)
+        self.assertTrue(task.cancelled.wait(WAIT_S))
+        self.dispatcher.add_task(later)
+        self.assertTrue(later.started.wait(WAIT_S))
+        later.released.set()
+
+    def test_thread_that_can_not_be_started(self):
+        """The machine's limit of threads holds for all of its processes."""
+        tasks = [BlockingTask() for _ in range(4)]
+        for task in tasks[:THREADS_MIN]:
+            self.dispatcher.add_task(task)
+            self.assertTrue(task.started.wait(WAIT_S))
+        error = RuntimeError("can't start new thread")
+        with mock.patch.object(threading.Thread, "start", side_effect=error):
+            for task in tasks[THREADS_MIN:]:
+                self.dispatcher.add_task(task)
+        self.assertEqual(len(self.dispatcher.threads), THREADS_MIN)
+        for task in tasks:
+            task.released.set()
+        for task in tasks:
+            self.assertTrue(task.started.wait(WAIT_S))
+
+
 class IdleInstanceTest(GatewayTestCase):
     """Guards against threads that an instance holds without requests."""
 
