Note the limits that upstreams name, and log their changes

Upstreams name in Server-Limit the requests a second that they take from all instances together. This commit changes no decision. It parses the header, keeps what is believed of each upstream by its id and start, logs one line when a limit changes, and counts the changes and malformed values.

Tests: each kind of answer, values that are no limit, several headers, answers that overtake each other, a restart, an entry that lapses, reports of others.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -20,6 +20,7 @@
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
     LEAVING_HEADER,
+    LIMIT_HEADER,
     MISDIRECTED_STATUS,
     NOT_RUN_HEADER,
     REFUSED_STATUSES,
@@ -28,6 +29,7 @@
     UPSTREAM_SEAL_HEADER,
     Headers,
     is_leaving,
+    parse_limit,
     parse_pause,
     parse_upstream_load,
 )
@@ -308,7 +310,7 @@
             )
 
     def record_upstream_wishes(self, attempt: Attempt, attempt_id: str) -> None:
-        """Note that an upstream is leaving, or for how long it wants no requests."""
+        """Note that an upstream leaves, wants a pause, or limits its requests."""
         upstream, exchange = attempt.selection.upstream, attempt.exchange
         fields = {"id": attempt_id, "upstream": str(upstream.id)}
         if is_leaving(exchange.get_header(LEAVING_HEADER)):
@@ -319,6 +321,27 @@
             if pause_s:
                 self._selector.pause_upstream(upstream.id, pause_s)
                 log.info("upstream pauses", extra={**fields, "pause_s": pause_s})
+        self._record_limit(attempt, attempt_id)
+
+    def _record_limit(self, attempt: Attempt, attempt_id: str) -> None:
+        """Note the limit in the head of an answer, or that it names none.
+
+        Notes
+        -----
+        Only an answer with the upstream's seal tells that a limit has ended.
+        """
+        exchange = attempt.exchange
+        try:
+            rate = parse_limit(exchange.get_header(LIMIT_HEADER))
+        except ValueError as error:
+            self._metrics.count("upstream_limits_malformed")
+            log.debug("limit ignored: {}", error)
+            return
+        if rate is not None or exchange.get_header(UPSTREAM_SEAL_HEADER) is not None:
+            upstream = attempt.selection.upstream
+            self._selector.limits.record_answer(
+                upstream, rate, attempt.started_at, attempt_id
+            )
 
     def record_response(self, attempt: Attempt, connection: UpstreamConnection) -> None:
         """Record a complete response and return or close its connection."""
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -112,6 +112,7 @@
             loads=self._loads,
             peers=self._peers,
             clock=clock,
+            metrics=self._metrics,
         )
         self._quarantine = PromptQuarantine(
             peers=self._peers,
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, replace
 
 from fescueflow.core import Clock, Overloaded, UpstreamId
+from fescueflow.gateway.limits import UpstreamLimits
 from fescueflow.gateway.loads import ActiveRequest, LoadTracker
 from fescueflow.gateway.peers import REPORT_INTERVAL_S, PeerTable
 from fescueflow.gateway.platform_state import EXPIRY_HEARTBEATS, PlatformState
 from fescueflow.gateway.rotation import count_reports_per_round
+from fescueflow.metrics import Metrics
 from fescueflow.platform import BootSettings
 from fescueflow.routing import (
     BalanceBound,
@@ -95,6 +97,7 @@
     loads : LoadTracker
     peers : PeerTable
     clock : Clock
+    metrics : Metrics
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         loads: LoadTracker,
         peers: PeerTable,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._boot = boot
         self._platform_state = platform_state
@@ -115,6 +119,7 @@
         self._health = UpstreamHealth()
         self._cold_start_limiter = ColdStartLimiter(str(boot.instance))
         self._holders = HolderTable()
+        self.limits = UpstreamLimits(clock=clock, metrics=metrics)
         self._retry_budget = RetryBudget(
             boot.repeat_ratio, boot.repeat_base, boot.repeat_window_s
         )
@@ -211,6 +216,7 @@
             self._health.retain(kept)
             self._holders.retain(kept)
             self._loads.retain(kept)
+            self.limits.retain(kept)
 
     def select(
         self,
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -39,6 +40,13 @@
 RETRY_AFTER_HEADER = "Retry-After"
 # Longest pause that an upstream can ask for, in seconds.
 PAUSE_MAX_S = 300.0
+# Requests a second that the upstream takes from all instances together, for as long as
+# its answers say so.
+LIMIT_HEADER = "Server-Limit"
+LIMIT_PATTERN = re.compile(r"(\d+\.?\d*|\.\d+)([eE][+-]?\d{1,3})?", re.ASCII)
+# Highest limit that is told from a higher one, in requests a second: above what any
+# fleet of this size sends to one upstream.
+LIMIT_MAX_PER_S = 1e6
 
 MISDIRECTED_STATUS = 421
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -230,6 +238,34 @@
     return min(PAUSE_MAX_S, seconds) if seconds > 0 else 0.0
 
 
+def parse_limit(value: str | None) -> float | None:
+    """Return the requests a second that an upstream takes from all instances.
+
+    Parameters
+    ----------
+    value : str or None
+        Value of ``Server-Limit``; of several headers, joined by commas, the lowest
+        counts.
+
+    Returns
+    -------
+    float or None
+        ``None`` if there is no header; 0 is a limit. At most ``LIMIT_MAX_PER_S``.
+
+    Raises
+    ------
+    ValueError
+        If a value is empty, negative, infinite or otherwise not a decimal number; it
+        then says nothing.
+    """
+    if value is None:
+        return None
+    fields = [field.strip() for field in value.split(",")]
+    if not all(LIMIT_PATTERN.fullmatch(field) for field in fields):
+        raise ValueError(f"{value[:40]!r} is not a limit")
+    return min(LIMIT_MAX_PER_S, *map(float, fields))
+
+
 def is_leaving(value: str | None) -> bool:
     """Return whether the leaving header of a response announces a shutdown."""
     return (value or "").strip() == "1"
@@ -249,6 +285,7 @@
     "ATTEMPT_ID_HEADER",
     "ATTEMPT_ID_VARIABLE",
     "LEAVING_HEADER",
+    "LIMIT_HEADER",
     "METRICS_PATH",
     "MISDIRECTED_STATUS",
     "NOT_RUN_HEADER",
@@ -263,6 +300,7 @@
     "is_leaving",
     "make_directory_body",
     "make_upstream_headers",
+    "parse_limit",
     "parse_pause",
     "parse_upstream_load",
     "read_call_headers",
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -21,6 +21,7 @@
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
+from fescueflow.routing.limits import Limit, LimitId, LimitTable, LimitUpdate
 from fescueflow.routing.model import (
     PRIORITY_DEFAULT,
     CallerLimits,
@@ -97,6 +98,10 @@
     "EngineTraits",
     "HolderTable",
     "HolderUpdate",
+    "Limit",
+    "LimitId",
+    "LimitTable",
+    "LimitUpdate",
     "LoadCount",
     "LoadReport",
     "NoRoute",
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -106,6 +106,7 @@
             loads=self.loads,
             peers=self.peers,
             clock=clock,
+            metrics=Metrics(),
         )
         self.quarantine = PromptQuarantine(
             peers=self.peers,
