--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -134,13 +134,14 @@
             loads=self.loads,
             selector=self.selector,
             clock=clock,
-            is_serving=lambda: True,
+            is_serving=lambda: self.is_serving,
             relay=self.relay,
             quarantine=self.quarantine,
         )
         self.rotation = ReceiverRotation(SeededRandomSource(seed + number))
         self.hosts = sorted(peer for peer in peers if peer != self.name)
         self.sent_bytes = 0
+        self.is_serving = True
         self.receivers = ReceiverChooser(
             peers=self.peers,
             relay=self.relay,
