Keep to the limits that upstreams name, over all instances together

Each instance chose by load, and a limited upstream with few requests looks idle.

Each limited upstream is now held by a few instances, the first of a rendezvous ranking, as many as fit the rule with a full bucket each; instances report what they have heard of limits. The rates of the holders add up to the limit, in proportion to the callers' requests that each has reported; each counts the lowest rate for itself that others may still know, so that the sum stays under the limit while reports are late. All requests pass RateGate: first attempts, retries, resumed streams and those sent apart. If all upstreams of a service are limited, a request without a token is refused at once, before placements are ranked, with the next return slot as Retry-After, and tokens are kept for more urgent requests.

test_odd_reports: the report now holds limits, one of the only upstream that it leaves in use, which this instance may refuse; a third upstream takes requests.

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -44,6 +44,7 @@
 )
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
+    PRIORITY_HIGHEST,
     AttemptFailure,
     RouteKind,
     choose_service,
@@ -173,6 +174,7 @@
             context.tried,
             context.deadline - now,
             admission.isolation_key,
+            priority=context.priority if last_event is None else PRIORITY_HIGHEST,
         )
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
--- a/src/fescueflow/gateway/report_codec.py
+++ b/src/fescueflow/gateway/report_codec.py
@@ -14,13 +14,14 @@
     decode_name,
     decode_number,
 )
+from fescueflow.gateway.limit_codec import decode_limits, encode_limits
 from fescueflow.gateway.quarantine_codec import (
     QuarantineReport,
     decode_quarantine,
     encode_quarantine,
 )
 from fescueflow.gateway.records import PeerRecord
-from fescueflow.routing import HolderUpdate, ServiceId
+from fescueflow.routing import HolderUpdate, LimitUpdate, ServiceId
 
 # Uncompressed size of a report; several times the largest one.
 REPORT_BYTES_MAX = 1 << 20
@@ -40,6 +41,7 @@
     holder_updates: list[HolderUpdate] = field(default_factory=list)
     counts: list[CountUpdate] = field(default_factory=list)
     quarantine: QuarantineReport = QuarantineReport()
+    limits: list[LimitUpdate] = field(default_factory=list)
 
 
 def encode_report(report: PeerReport, now: float) -> bytes:
@@ -69,6 +71,7 @@
             for update in report.counts
         ],
         **encode_quarantine(report.quarantine),
+        **encode_limits(report.limits),
     }
     return compress_report(json.dumps(document, separators=(",", ":")).encode())
 
@@ -152,6 +155,7 @@
             for upstream, count, age_s in document.get("counts", [])
         ]
         quarantine = decode_quarantine(document)
+        limits = decode_limits(document)
     except (
         ArithmeticError,
         AttributeError,
@@ -162,7 +166,7 @@
         raise ValueError(f"malformed report: {error!r}") from error
     if not records:
         raise ValueError("the report names no instance")
-    return PeerReport(records, loads, holder_updates, counts, quarantine)
+    return PeerReport(records, loads, holder_updates, counts, quarantine, limits)
 
 
 def decode_holder(entry: Any) -> HolderUpdate:
--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -94,6 +94,7 @@
         self.update_own_record()
         now = self._clock.monotonic()
         own = self._peers.get_own_record()
+        self._selector.limits.record_published(own.rate)
         is_full = self._has_new_peer or own.sequence % CRASH_FULL_REPORTS == 1
         known = [r for r in self._list_known(now) if r.instance != own.instance]
         report = PeerReport(
@@ -102,6 +103,7 @@
             holder_updates=self._selector.take_holder_updates(),
             counts=self._loads.list_counts(now),
             quarantine=self._quarantine.make_report(is_full),
+            limits=self._selector.limits.take_updates(),
         )
         return encode_report(report, now)
 
@@ -156,6 +158,7 @@
             self._loads.set_peer_loads(sender.instance, report.loads, now)
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
+        self._selector.merge_limits(report.limits)
         crashed = self._quarantine.merge(report.quarantine, sender.instance)
         self._selector.mark_crashed(crashed)
 
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -2,26 +2,27 @@
 
 import threading
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from fescueflow.core import Clock, Overloaded, UpstreamId
 from fescueflow.gateway.limits import UpstreamLimits
-from fescueflow.gateway.loads import ActiveRequest, LoadTracker
+from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.peers import REPORT_INTERVAL_S, PeerTable
 from fescueflow.gateway.platform_state import EXPIRY_HEARTBEATS, PlatformState
+from fescueflow.gateway.rate_gate import RETRY_AFTER_MS, RateGate
 from fescueflow.gateway.rotation import count_reports_per_round
+from fescueflow.gateway.selected import Selection
 from fescueflow.metrics import Metrics
 from fescueflow.platform import BootSettings
 from fescueflow.routing import (
-    BalanceBound,
+    PRIORITY_DEFAULT,
     Candidate,
-    ColdStartLimiter,
     HolderTable,
     HolderUpdate,
+    LimitUpdate,
     Placement,
     Prompt,
     RetryBudget,
-    Service,
     ServiceId,
     Upstream,
     UpstreamHealth,
@@ -33,60 +34,11 @@
     select_in_time,
 )
 
-# Delay after which a rejected caller may retry: an upstream that was excluded after
-# failures is tried again after this time.
-RETRY_AFTER_MS = 500
 # Time for which an upstream is excluded that another instance saw crash. Its entry
 # expires after three heartbeats; if the report is wrong, it is used again sooner.
 REPORTED_CRASH_EXCLUSION_S = 1.0
 
 
-@dataclass(frozen=True)
-class Selection:
-    """The selected upstream and the request that counts toward its load.
-
-    ``source`` is the upstream from which the selected one copies the shared prefix of
-    the prompt, ``bound`` the load bound of the service, and ``report_age_s`` the mean
-    age of the loads that other instances had reported. ``is_isolated`` is whether the
-    request was sent apart because upstreams may crash under it.
-    """
-
-    placement: Placement
-    active_request: ActiveRequest
-    bound: BalanceBound
-    source: Upstream | None = None
-    report_age_s: float | None = None
-    is_isolated: bool = False
-
-    @property
-    def upstream(self) -> Upstream:
-        """The selected upstream."""
-        return self.placement.candidate.upstream
-
-    def describe(self) -> dict[str, str | int | float | bool | None]:
-        """Return the log fields that explain the selection."""
-        load = self.placement.candidate.load
-        return {
-            "upstream": str(self.upstream.id),
-            "cost_ms": round(self.placement.cost_ms, 1),
-            "running": round(load.running, 1),
-            "own_running": load.own_running,
-            "count_age_ms": (
-                None if load.count_age_s is None else round(load.count_age_s * 1000)
-            ),
-            "mean_running": round(self.bound.mean, 1),
-            "running_limit": round(self.bound.limit, 1),
-            "report_age_ms": (
-                None if self.report_age_s is None else round(self.report_age_s * 1000)
-            ),
-            "isolated": self.is_isolated,
-            "waiting_tokens": round(load.waiting_tokens),
-            "failure_rate": round(load.failure_rate, 2),
-            "cached": self.placement.is_cached,
-            "copied_from": str(self.source.id) if self.source else None,
-        }
-
-
 class UpstreamSelector:
     """Selects upstreams; thread-safe.
 
@@ -117,9 +69,17 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._health = UpstreamHealth()
-        self._cold_start_limiter = ColdStartLimiter(str(boot.instance))
         self._holders = HolderTable()
-        self.limits = UpstreamLimits(clock=clock, metrics=metrics)
+        self.limits = UpstreamLimits(
+            own=boot.instance, peers=peers, clock=clock, metrics=metrics
+        )
+        self._gate = RateGate(
+            own=boot.instance,
+            platform_state=platform_state,
+            peers=peers,
+            limits=self.limits,
+            metrics=metrics,
+        )
         self._retry_budget = RetryBudget(
             boot.repeat_ratio, boot.repeat_base, boot.repeat_window_s
         )
@@ -199,6 +159,16 @@
         with self._lock:
             self._holders.merge(updates, self._clock.monotonic())
 
+    def merge_limits(self, updates: Iterable[LimitUpdate]) -> None:
+        """Store the limits of listed upstreams, as another instance reports them."""
+        self.limits.merge(
+            update
+            for update in updates
+            if self._platform_state.has_listed(
+                update.id.upstream, update.id.started_at_ms
+            )
+        )
+
     def announce_all_holders(self) -> None:
         """Report all holders of shared prefixes to an instance that has started."""
         with self._lock:
@@ -225,16 +195,18 @@
         tried: set[UpstreamId],
         remaining_s: float,
         isolation_key: str | None = None,
+        priority: int = PRIORITY_DEFAULT,
     ) -> Selection:
         """Return an upstream for the request and count the request there.
 
         ``isolation_key`` holds the suspected parts of a request under which upstreams
-        may crash.
+        may crash, and ``priority`` is 0 for the most urgent ones.
 
         Raises
         ------
         Overloaded
-            If no upstream is available, warm or expected to respond in time.
+            If no upstream is available, warm, within its limit or expected to respond
+            in time.
         """
         now = self._clock.monotonic()
         listed = self._platform_state.list_upstreams(service, now)
@@ -245,6 +217,7 @@
                     "no upstream is available",
                     retry_after_ms=self._find_retry_after_ms(listed, tried, now),
                 )
+            self._gate.admit(usable, service, priority, now)
             cached = self._holders.find(service, prompt.key, listed, now)
             sources = self._rank_copy_sources(service, prompt, tried, cached)
             candidates = self._list_candidates(service, usable, now)
@@ -262,7 +235,8 @@
             in_time = self._filter_by_deadline(placements, remaining_s)
             if isolation_key is not None:
                 in_time = rank_isolated(in_time, isolation_key)
-            chosen = self._apply_cold_start_limit(in_time, now)
+            passage = self._gate.choose(in_time, service, priority, now)
+            chosen = passage.placement
             upstream = chosen.candidate.upstream
             is_held = any(source.id == upstream.id for source in sources)
             source = sources[0] if sources and not is_held else None
@@ -275,7 +249,15 @@
             )
             age_s = self._loads.get_report_age(now)
             is_isolated = isolation_key is not None
-            return Selection(chosen, active_request, bound, source, age_s, is_isolated)
+            return Selection(
+                chosen,
+                active_request,
+                bound,
+                source,
+                age_s,
+                is_isolated,
+                passage.share,
+            )
 
     def _count_healthy_upstreams(
         self, service: ServiceId, listed: list[Upstream], now: float
@@ -389,30 +371,5 @@
         soonest_s = min((end for end in ends if end > 0), default=0.0)
         return max(RETRY_AFTER_MS, round(soonest_s * 1000))
 
-    def _apply_cold_start_limit(
-        self, placements: list[Placement], now: float
-    ) -> Placement:
-        """Return the first placement that is warm or within the cold-start rate.
-
-        Raises
-        ------
-        Overloaded
-            If there is none.
-        """
-        table = self._platform_state.get_table()
-        instances = self._peers.count_carrying(now)
-        for placement in placements:
-            upstream = placement.candidate.upstream
-            service: Service | None = (
-                table.services.get(upstream.service) if table else None
-            )
-            if upstream.cold_until <= now or service is None or not service.cold_per_s:
-                return placement
-            if self._cold_start_limiter.try_acquire(
-                upstream.id, service.cold_per_s, instances, now
-            ):
-                return placement
-        raise Overloaded("all upstreams are cold", retry_after_ms=RETRY_AFTER_MS)
-
 
 __all__ = ["RETRY_AFTER_MS", "Selection", "UpstreamSelector"]
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -11,6 +11,7 @@
     predict,
     select_in_time,
 )
+from fescueflow.routing.buckets import TokenBuckets
 from fescueflow.routing.crashes import (
     Crash,
     CrashId,
@@ -21,9 +22,16 @@
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
+from fescueflow.routing.limit_shares import (
+    LimitShare,
+    LimitShares,
+    PublishedDemand,
+    compute_burst,
+)
 from fescueflow.routing.limits import Limit, LimitId, LimitTable, LimitUpdate
 from fescueflow.routing.model import (
     PRIORITY_DEFAULT,
+    PRIORITY_HIGHEST,
     CallerLimits,
     Customer,
     EngineTraits,
@@ -72,12 +80,14 @@
     correct_running,
 )
 from fescueflow.routing.retries import AttemptFailure, RetryBudget, may_retry
+from fescueflow.routing.return_slots import ReturnSlots, TokenSupply
 from fescueflow.routing.selection import choose_service, find_customer, find_route
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
+    "PRIORITY_HIGHEST",
     "RELAY_DELAY_MAX_S",
     "SETTLED_AGE_S",
     "SURVIVAL_S",
@@ -100,6 +110,8 @@
     "HolderUpdate",
     "Limit",
     "LimitId",
+    "LimitShare",
+    "LimitShares",
     "LimitTable",
     "LimitUpdate",
     "LoadCount",
@@ -111,14 +123,18 @@
     "Prediction",
     "ProgressTable",
     "Prompt",
+    "PublishedDemand",
     "Quarantine",
     "RetryBudget",
+    "ReturnSlots",
     "Route",
     "RouteId",
     "RouteKind",
     "RoutingTable",
     "Service",
     "ServiceId",
+    "TokenBuckets",
+    "TokenSupply",
     "UnknownKey",
     "UnprovenAnswers",
     "Upstream",
@@ -129,6 +145,7 @@
     "blend_reports",
     "choose_service",
     "collect_evidence",
+    "compute_burst",
     "correct_running",
     "count_independent",
     "decide_admission",
--- a/src/fescueflow/routing/limits.py
+++ b/src/fescueflow/routing/limits.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from fescueflow.core import UpstreamId
 
@@ -16,13 +17,14 @@
 # Time for which the limit of an upstream without an entry is remembered, in seconds.
 # Entries lapse and return during outages of the store; none of them took longer.
 UNLISTED_MEMORY_S = 60.0
+# Time for which a change is reported before all other limits, in seconds: four reports.
+CHANGE_REPORT_S = 1.5
 # Reported times are used if they are later than the known one by more than this, in
 # seconds: several times the delay of a datagram, by which an age is too low.
 REPORT_MARGIN_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class LimitId:
+class LimitId(NamedTuple):
     """An upstream with the time of its start; it forgets its limit at a restart."""
 
     upstream: UpstreamId
@@ -113,14 +115,19 @@
         return changed
 
     def list_updates(self, now: float) -> list[LimitUpdate]:
-        """Return all limits and recent ends of limits, the latest change first."""
+        """Return all limits and recent ends of limits, in a stable order."""
         self._forget_ended(now)
-        return [
-            LimitUpdate(i, self._limits[i].rate, max(0.0, now - limit.heard_at))
-            for i, limit in sorted(
-                self._limits.items(), key=lambda item: -self._changed_at[item[0]]
-            )
+        return [self._make_update(limit_id, now) for limit_id in self._limits]
+
+    def list_changes(self, now: float) -> list[LimitUpdate]:
+        """Return the limits that have just changed, the latest change first."""
+        recent = [
+            (changed_at, limit_id)
+            for limit_id, changed_at in self._changed_at.items()
+            if now - changed_at <= CHANGE_REPORT_S
         ]
+        recent.sort(key=lambda entry: -entry[0])
+        return [self._make_update(limit_id, now) for _, limit_id in recent]
 
     def retain(self, kept: set[UpstreamId], now: float) -> None:
         """Forget upstreams that are not in ``kept`` and were not heard of for long."""
@@ -129,6 +136,10 @@
             if limit_id.upstream not in kept and is_old:
                 self._drop(limit_id)
 
+    def _make_update(self, limit_id: LimitId, now: float) -> LimitUpdate:
+        limit = self._limits[limit_id]
+        return LimitUpdate(limit_id, limit.rate, max(0.0, now - limit.heard_at))
+
     def _store(self, limit_id: LimitId, limit: Limit, now: float) -> Limit | None:
         known = self._limits.get(limit_id)
         self._limits[limit_id] = limit
--- a/src/fescueflow/routing/model.py
+++ b/src/fescueflow/routing/model.py
@@ -12,6 +12,7 @@
 PartId = NewType("PartId", str)
 # Priority of a route or customer that sets none; 0 is the highest.
 PRIORITY_DEFAULT = 5
+PRIORITY_HIGHEST = 0
 
 
 class RouteKind(Enum):
@@ -137,6 +138,7 @@
 
 __all__ = [
     "PRIORITY_DEFAULT",
+    "PRIORITY_HIGHEST",
     "CallerLimits",
     "Customer",
     "EngineTraits",
--- a/tests/gateway/limit_fleet.py
+++ b/tests/gateway/limit_fleet.py
@@ -68,6 +68,7 @@
     instance: InstanceId
     limit: float | None
     is_bound: bool
+    priority: int
 
 
 @dataclass
@@ -286,12 +287,16 @@
                 arguments = (customer, priority, returns_left - 1)
                 self._schedule(delay_s, self._send, *arguments)
             return
-        self._schedule(NETWORK_DELAY_S, self._arrive, instance, selection, self.now)
+        self._schedule(
+            NETWORK_DELAY_S, self._arrive, instance, selection, self.now, priority
+        )
 
     def _select(self, instance, prompt, priority):
-        return instance.selector.select(ENGINES, prompt, set(), REMAINING_S)
+        return instance.selector.select(
+            ENGINES, prompt, set(), REMAINING_S, priority=priority
+        )
 
-    def _arrive(self, instance, selection, sent_at):
+    def _arrive(self, instance, selection, sent_at, priority):
         name = selection.upstream.id
         upstream = self.upstreams[name]
         limit = upstream.get_limit(self.now)
@@ -304,7 +309,9 @@
             and sent_at >= heard_at + HEARD_S
             and not self._is_cut(instance.name)
         )
-        self.arrivals.append(Arrival(self.now, name, instance.name, limit, is_bound))
+        self.arrivals.append(
+            Arrival(self.now, name, instance.name, limit, is_bound, priority)
+        )
         head_s = self.random.uniform(0.05, 0.6)
         self._schedule(head_s, self._answer, instance, selection, sent_at)
 
--- a/tests/gateway/test_limit_fleet.py
+++ b/tests/gateway/test_limit_fleet.py
@@ -66,5 +66,57 @@
         self.check(LimitDay(8, 8, 60.0, changes, seconds=22.0), seed=7)
 
 
+class RecoveryTest(unittest.TestCase):
+    """Guards against an upstream that is avoided after its limit has ended."""
+
+    def test_ended_limit_is_used_soon(self):
+        for instances, seconds in ((8, 20.0), (88, 17.0)):
+            limits = spread_limits(6) + spread_limits(6, 10.0, (None,))
+            day = LimitDay(instances, 8, 60.0, limits, seconds=seconds)
+            fleet = LimitFleet(day, 8).run()
+            # From the rule's time to settle on: half of what even loads would give.
+            even = 60.0 / 8 * (seconds - 13.0)
+            for number in range(6):
+                with self.subTest(instances=instances, upstream=number):
+                    count = fleet.count_arrivals({f"u{number}"}, 13.0, seconds)
+                    self.assertGreater(count, even / 2)
+
+    def test_limits_are_used_under_load(self):
+        day = LimitDay(8, 6, 60.0, spread_limits(6))
+        fleet = LimitFleet(day, 9).run()
+        self.assertGreater(fleet.measure_use(7.0, 20.0), 0.5)
+        self.assertLessEqual(fleet.measure_use(7.0, 20.0), 1.0)
+
+
+class RefusalTest(unittest.TestCase):
+    """Guards against refused callers that come back at once, or urgent ones last."""
+
+    def setUp(self):
+        day = LimitDay(8, 6, 60.0, spread_limits(6), urgent_share=0.1, seconds=25.0)
+        self.fleet = LimitFleet(day, 10).run()
+        self.refusals = [r for r in self.fleet.refusals if r.at > 7.0]
+
+    def test_return_times_are_bounded_and_spread(self):
+        delays = [r.retry_after_s for r in self.refusals]
+        self.assertGreater(min(delays), 0.0)
+        self.assertLessEqual(max(delays), 3.0)
+        backs = {}
+        for refusal in self.refusals:
+            back = (refusal.instance, round(refusal.at + refusal.retry_after_s, 3))
+            backs[back] = backs.get(back, 0) + 1
+        self.assertLessEqual(max(backs.values()), 3)
+
+    def test_urgent_requests_are_served_first(self):
+        def measure_served(priority):
+            served = sum(
+                a.priority == priority and a.at > 7.0 for a in self.fleet.arrivals
+            )
+            refused = sum(r.priority == priority for r in self.refusals)
+            return served / (served + refused)
+
+        self.assertGreater(measure_served(0), 3 * measure_served(5))
+        self.assertGreater(measure_served(5), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -6,8 +6,10 @@
 import logbook
 
 from fescueflow.gateway.limits import UpstreamLimits
+from fescueflow.gateway.peers import PeerTable
 from fescueflow.metrics import Metrics
 from tests.fakes import FakeClock
+from tests.gateway.builders import make_peer
 from tests.gateway.fleet import Instance
 from tests.routing.builders import make_upstream
 
@@ -84,7 +86,12 @@
 
     def test_one_line_for_each_change(self):
         clock, metrics = FakeClock(), Metrics()
-        limits = UpstreamLimits(clock=clock, metrics=metrics)
+        limits = UpstreamLimits(
+            own="edge-0",
+            peers=PeerTable(make_peer("edge-0")),
+            clock=clock,
+            metrics=metrics,
+        )
         upstream = make_upstream("u1", started_at_ms=1)
         with logbook.TestHandler() as handler:
             for rate in (None, 2.0, 2.0, 3.0, None, None):
--- a/tests/gateway/test_odd_reports.py
+++ b/tests/gateway/test_odd_reports.py
@@ -11,7 +11,14 @@
     decompress_report,
     encode_report,
 )
-from fescueflow.routing import HolderUpdate, Prompt, Verdict, parse_prompt
+from fescueflow.routing import (
+    HolderUpdate,
+    LimitId,
+    LimitUpdate,
+    Prompt,
+    Verdict,
+    parse_prompt,
+)
 from tests.fakes import FakeClock
 from tests.gateway.builders import make_peer
 from tests.gateway.fleet import Instance
@@ -53,6 +60,10 @@
             {"u1": (1, 2)},
             [HolderUpdate(ENGINES, "k", "u1", 0.1)],
             quarantine=quarantine,
+            limits=[
+                LimitUpdate(LimitId("u1", 1), 2.5, 0.5),
+                LimitUpdate(LimitId("u0", 1), None, 0.5),
+            ],
         )
         document = json.loads(decompress_report(encode_report(report, 0.0)))
         for path in find_fields(document):
@@ -66,7 +77,8 @@
                     self.check(compress_report(json.dumps(changed).encode()))
 
     def check(self, data):
-        upstreams = [make_upstream(f"u{n}", started_at_ms=1) for n in range(2)]
+        # u0 has crashed and u1 is limited, by the report; u2 takes requests.
+        upstreams = [make_upstream(f"u{n}", started_at_ms=1) for n in range(3)]
         instance = Instance(0, ["edge-0"], upstreams, FakeClock(), 1)
         try:
             instance.reporter.handle_report(data)
