Leave limited upstreams out of the mean load that others are held against

Four of six upstreams were limited and idle, the other two stood above twice the mean, so that each request first tried a limited upstream and moved its prefix there. As with upstreams that are excluded for failures, the mean is now taken over the others.

--- a/src/fescueflow/gateway/limits.py
+++ b/src/fescueflow/gateway/limits.py
@@ -107,6 +107,17 @@
         with self._lock:
             return self._table.find_rate(make_limit_id(upstream))
 
+    def list_limited(self, upstreams: Iterable[Upstream]) -> frozenset[UpstreamId]:
+        """Return the upstreams that name a limit."""
+        with self._lock:
+            if not self._table.has_limits:
+                return frozenset()
+            return frozenset(
+                upstream.id
+                for upstream in upstreams
+                if self._table.find_rate(make_limit_id(upstream)) is not None
+            )
+
     def find_share(self, upstream: Upstream, now: float) -> LimitShare | None:
         """Return the share in an upstream's limit, ``None`` without a limit."""
         with self._lock:
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -221,7 +221,11 @@
             cached = self._holders.find(service, prompt.key, listed, now)
             sources = self._rank_copy_sources(service, prompt, tried, cached)
             candidates = self._list_candidates(service, usable, now)
+            limited = self.limits.list_limited(usable)
+            if len(limited) == len(usable):
+                limited = frozenset()
             upstream_count = self._count_healthy_upstreams(service, listed, now)
+            upstream_count -= len(limited)
             placements = rank_placements(
                 candidates,
                 prompt,
@@ -231,6 +235,7 @@
                 upstream_count,
                 self._get_copy_rate(service) if sources else 0.0,
                 self._loads.get_mean_duration_s(service) * 1000,
+                limited,
             )
             in_time = self._filter_by_deadline(placements, remaining_s)
             if isolation_key is not None:
@@ -245,7 +250,9 @@
                 upstream.id, service, chosen.prefill_tokens, now
             )
             bound = measure_balance(
-                candidates, self._boot.imbalance_factor, upstream_count
+                [c for c in candidates if c.upstream.id not in limited],
+                self._boot.imbalance_factor,
+                upstream_count,
             )
             age_s = self._loads.get_report_age(now)
             is_isolated = isolation_key is not None
--- a/src/fescueflow/routing/limits.py
+++ b/src/fescueflow/routing/limits.py
@@ -61,6 +61,11 @@
         # When the rate of each limit last changed.
         self._changed_at: dict[LimitId, float] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any limit, or the end of one, is known."""
+        return bool(self._limits)
+
     def find_rate(self, limit_id: LimitId) -> float | None:
         """Return the limit in requests a second, ``None`` without one."""
         known = self._limits.get(limit_id)
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -329,6 +329,7 @@
     service_size: int | None = None,
     copy_tokens_per_ms: float = 0.0,
     hold_ms: float = 0.0,
+    limited: frozenset[UpstreamId] = frozenset(),
 ) -> list[Placement]:
     """Return the candidates by rising cost, those within the load limit first.
 
@@ -349,9 +350,19 @@
         holder responds.
     hold_ms : float, optional
         Mean time that a request holds a slot of this service.
+    limited : frozenset of UpstreamId, optional
+        Upstreams that name a limit, unless all do; not part of ``service_size``.
+
+    Notes
+    -----
+    Limited upstreams can't take the mean load. If they were part of it, the others
+    would exceed the bound, and each request would first move its prefix to a limited
+    upstream.
     """
-    balanced_candidates = find_balanced(candidates, imbalance_factor, service_size)
+    others = [c for c in candidates if c.upstream.id not in limited]
+    balanced_candidates = find_balanced(others, imbalance_factor, service_size)
     balanced_ids = {candidate.upstream.id for candidate in balanced_candidates}
+    balanced_ids |= limited
     placements = [
         estimate_placement(
             c, prompt, c.upstream.id in cached_at, copy_tokens_per_ms, hold_ms
