Keep what limited upstreams take for the prefixes that they hold

A limited upstream with a token drew prefixes that it had to copy, beside more requests for its own prefixes than its limit allows.

--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -182,6 +182,34 @@
         self.assertLessEqual(len(chosen), 2)
         self.assertNotIn(holder, chosen)
 
+    def test_limited_upstreams_are_no_part_of_the_mean(self):
+        # Two upstreams carry what four limited ones can't take.
+        busy = [make_candidate(f"b{n}", 20) for n in range(2)]
+        limited = [make_candidate(f"l{n}", 1) for n in range(4)]
+        names = frozenset(c.upstream.id for c in limited)
+        ranked = rank_placements(
+            [*busy, *limited],
+            make_prompt(),
+            frozenset({UpstreamId("b1")}),
+            2.0,
+            service_size=2,
+            copy_tokens_per_ms=400.0,
+            limited=names,
+        )
+        self.assertEqual([p.candidate.upstream.id for p in ranked[:2]], ["b1", "b0"])
+
+    def test_limited_holder_goes_first(self):
+        limited, other = make_candidate("l0", 1), make_candidate("b0", 1)
+        ranked = rank_placements(
+            [limited, other],
+            make_prompt(),
+            frozenset({UpstreamId("l0")}),
+            2.0,
+            copy_tokens_per_ms=400.0,
+            limited=frozenset({UpstreamId("l0")}),
+        )
+        self.assertEqual(ranked[0].candidate.upstream.id, "l0")
+
     def test_unbalanced_holder_goes_last(self):
         holder = make_candidate("u1", running=20)
         others = [make_candidate(f"u{n}", running=2) for n in range(2, 7)]
