Keep more tokens for urgent requests while all upstreams are limited

With one token kept for each urgent request expected until the next token, half of the urgent ones still found none: they come at random, and each other class was served every 2 s. One more token is kept, and a class that is always short gets a quarter of the tokens at most.

--- a/src/fescueflow/routing/return_slots.py
+++ b/src/fescueflow/routing/return_slots.py
@@ -10,6 +10,8 @@
 from fescueflow.routing.admission import RETRY_AFTER_MAX_S
 from fescueflow.routing.model import ServiceId
 
+# Rate below which tokens are not expected, a second: one in a thousand seconds.
+RATE_MIN = 0.001
 # Shortest retry delay, in seconds: several round trips between availability zones.
 RETRY_AFTER_MIN_S = 0.1
 # Time constant with which the demand of each class is measured, in seconds: the rule's
@@ -19,9 +21,11 @@
 DEMAND_SPARED = 0.1
 # Largest part of the tokens that are kept for more urgent requests.
 RESERVE_FRACTION_MAX = 0.5
-# Time after which a class that got nothing is served like the most urgent one, in
-# seconds: below the shortest deadline of the routes, so that each class gets some.
+# Time after which a class that got nothing is served like the most urgent one: in
+# seconds, below the shortest deadline of the routes, and in new tokens, so that a class
+# that is always short gets a quarter of them at most.
 WAIT_MAX_S = 2.0
+WAIT_TOKENS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +82,8 @@
             return False
         demand = self._classes.get((service, priority))
         if demand is not None and demand.waits_since is not None:
-            if now - demand.waits_since >= WAIT_MAX_S:
+            wait_s = max(WAIT_MAX_S, WAIT_TOKENS / max(supply.rate, RATE_MIN))
+            if now - demand.waits_since >= wait_s:
                 return True
         return supply.whole > self.count_reserved(service, priority, supply, now)
 
@@ -93,8 +98,12 @@
         )
         if urgent <= 0 or supply.rate <= 0:
             return 0
-        wanted = math.ceil(urgent / supply.rate - DEMAND_SPARED)
-        return max(0, min(wanted, int(supply.depth * RESERVE_FRACTION_MAX)))
+        demand_per_token = urgent / supply.rate
+        if demand_per_token <= DEMAND_SPARED:
+            return 0
+        # Those that come until the next token, and one more, as they come at random.
+        wanted = math.ceil(demand_per_token) + 1
+        return min(wanted, int(supply.depth * RESERVE_FRACTION_MAX))
 
     def record_taken(self, service: ServiceId, priority: int) -> None:
         """Note that a class got a token."""
@@ -117,7 +126,7 @@
             demand.waits_since = now
         slot_at = max(demand.next_slot_at, now + supply.next_s)
         if slot_at - now < RETRY_AFTER_MAX_S:
-            demand.next_slot_at = slot_at + 1.0 / max(supply.rate, 1e-9)
+            demand.next_slot_at = slot_at + 1.0 / max(supply.rate, RATE_MIN)
         return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, slot_at - now))
 
     @staticmethod
