--- a/src/fescueflow/routing/buckets.py
+++ b/src/fescueflow/routing/buckets.py
@@ -33,7 +33,7 @@
         now : float
         """
         known = self._tokens.get(upstream)
-        left, counted_at = known or (self.compute_initial(upstream), now)
+        left, counted_at = known or (self._compute_initial(upstream), now)
         left = min(depth, left + max(0.0, now - counted_at) * rate)
         self._tokens[upstream] = (left, now)
         return left
@@ -43,6 +43,15 @@
         left, counted_at = self._tokens[upstream]
         self._tokens[upstream] = (left - 1.0, counted_at)
 
+    def get_idle_s(self, upstream: UpstreamId, now: float) -> float | None:
+        """Return the seconds since a bucket was filled, ``None`` if there is none."""
+        known = self._tokens.get(upstream)
+        return None if known is None else now - known[1]
+
+    def start(self, upstream: UpstreamId, tokens: float, now: float) -> None:
+        """Begin a bucket with so many tokens."""
+        self._tokens[upstream] = (tokens, now)
+
     def drop(self, upstream: UpstreamId) -> None:
         """Drop a bucket; the next one begins with the initial tokens."""
         self._tokens.pop(upstream, None)
@@ -52,7 +61,7 @@
         for upstream in self._tokens.keys() - kept:
             del self._tokens[upstream]
 
-    def compute_initial(self, upstream: UpstreamId) -> float:
+    def _compute_initial(self, upstream: UpstreamId) -> float:
         """Return an initial token count, 0 to 1, that differs between instances."""
         return score_candidate(self._name, str(upstream)) / 2**64
 
--- a/src/fescueflow/routing/health.py
+++ b/src/fescueflow/routing/health.py
@@ -9,7 +9,8 @@
 
 from dataclasses import dataclass
 
-from fescueflow.core import UpstreamId, score_candidate
+from fescueflow.core import UpstreamId
+from fescueflow.routing.buckets import TokenBuckets
 
 # Consecutive failures after which an upstream is excluded.
 FAILURES_MAX = 3
@@ -112,20 +113,16 @@
 
 
 class ColdStartLimiter:
-    """Token buckets that limit this instance's requests to cold upstreams.
+    """Limits this instance's requests to cold upstreams.
 
     Parameters
     ----------
     name : str
-        Name of this instance. It determines the initial tokens, so that the first
-        requests of a large fleet spread over the time in which each instance may send
-        one.
+        Name of this instance.
     """
 
     def __init__(self, name: str) -> None:
-        self._name = name
-        # Remaining tokens of each upstream and when they were counted.
-        self._tokens: dict[UpstreamId, tuple[float, float]] = {}
+        self._buckets = TokenBuckets(name)
 
     def try_acquire(
         self, upstream: UpstreamId, per_s: float, instances: int, now: float
@@ -142,19 +139,16 @@
         now : float
         """
         share = per_s / max(1, instances)
-        known = self._tokens.get(upstream)
-        left, counted_at = known or (1.0, now)
-        if share < 1.0 and (not known or (now - counted_at) * share >= 1.0):
+        idle_s = self._buckets.get_idle_s(upstream, now)
+        if share < 1.0 and (idle_s is None or idle_s * share >= 1.0):
             # With a full bucket after a pause, all instances could send at once.
-            left, counted_at = self._compute_initial_tokens(upstream), now
-        left = min(max(1.0, share), left + (now - counted_at) * share)
-        granted = left >= 1.0
-        self._tokens[upstream] = (left - 1.0 if granted else left, now)
-        return granted
-
-    def _compute_initial_tokens(self, upstream: UpstreamId) -> float:
-        """Return an initial token count, 0 to 1, that differs between instances."""
-        return score_candidate(self._name, str(upstream)) / 2**64
+            self._buckets.drop(upstream)
+        elif idle_s is None:
+            self._buckets.start(upstream, 1.0, now)
+        if self._buckets.fill(upstream, share, max(1.0, share), now) < 1.0:
+            return False
+        self._buckets.take(upstream)
+        return True
 
 
 __all__ = ["ColdStartLimiter", "UpstreamHealth"]
