--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -44,9 +44,9 @@
 # don't know of it make another copy. A fifth of the prefill time of the longest prefix
 # on the data sheets.
 SCATTERED_COPY_COST_MS = 20.0
-# Cost of a prefix that a limited upstream would copy or read again, in milliseconds: the
-# prefill time of the longest prefix on the data sheets. What such an upstream takes is
-# better used for the prefixes that it holds.
+# Cost of a prefix that a limited upstream would copy or read again, in milliseconds:
+# the prefill time of the longest prefix on the data sheets. What such an upstream takes
+# is better used for the prefixes that it holds.
 LIMITED_MOVE_COST_MS = 100.0
 # The fraction of the configured imbalance factor that is used, and the requests above
 # that which never count as imbalance. Both are stricter than the service rules, which
