--- a/tests/gateway/test_limit_fleet.py
+++ b/tests/gateway/test_limit_fleet.py
@@ -37,6 +37,10 @@
     def test_195_instances(self):
         self.check(LimitDay(195, 48, 300.0, spread_limits(34), seconds=11.0))
 
+    def test_small_service_of_a_large_fleet(self):
+        limits = spread_limits(4, rates=(19.0,))
+        self.check(LimitDay(73, 4, 150.0, limits, seconds=10.0))
+
     def test_one_customer_has_most_of_the_demand(self):
         self.check(LimitDay(8, 8, 60.0, spread_limits(6), skew=2.5), seed=2)
 
