--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -29,6 +29,7 @@
 from fescueflow.metrics import Metrics
 from fescueflow.platform import make_upstream_headers
 from fescueflow.routing import (
+    PRIORITY_HIGHEST,
     SUSPICION_S,
     AttemptFailure,
     RetryDenial,
@@ -257,6 +258,7 @@
             context.tried,
             context.deadline - now,
             admission.isolation_key,
+            priority=context.priority if last_event is None else PRIORITY_HIGHEST,
         )
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -11,6 +11,7 @@
     predict,
     select_in_time,
 )
+from fescueflow.routing.buckets import TokenBuckets
 from fescueflow.routing.crashes import (
     Crash,
     CrashId,
@@ -21,8 +22,16 @@
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
+from fescueflow.routing.limit_shares import (
+    LimitShare,
+    LimitShares,
+    PublishedDemand,
+    compute_burst,
+)
+from fescueflow.routing.limits import Limit, LimitId, LimitTable, LimitUpdate
 from fescueflow.routing.model import (
     PRIORITY_DEFAULT,
+    PRIORITY_HIGHEST,
     CallerLimits,
     Customer,
     EngineTraits,
@@ -76,6 +85,7 @@
     RetryDenial,
     may_retry,
 )
+from fescueflow.routing.return_slots import ReturnSlots, TokenSupply
 from fescueflow.routing.selection import choose_service, find_customer, find_route
 from fescueflow.routing.silence import (
     SUSPICION_S,
@@ -88,6 +98,7 @@
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
+    "PRIORITY_HIGHEST",
     "RELAY_DELAY_MAX_S",
     "SETTLED_AGE_S",
     "SURVIVAL_S",
@@ -109,6 +120,12 @@
     "EngineTraits",
     "HolderTable",
     "HolderUpdate",
+    "Limit",
+    "LimitId",
+    "LimitShare",
+    "LimitShares",
+    "LimitTable",
+    "LimitUpdate",
     "LoadCount",
     "LoadReport",
     "NoRoute",
@@ -118,9 +135,11 @@
     "Prediction",
     "ProgressTable",
     "Prompt",
+    "PublishedDemand",
     "Quarantine",
     "RetryBudget",
     "RetryDenial",
+    "ReturnSlots",
     "Route",
     "RouteId",
     "RouteKind",
@@ -128,6 +147,8 @@
     "Service",
     "ServiceId",
     "SilenceWatch",
+    "TokenBuckets",
+    "TokenSupply",
     "UnknownKey",
     "UnprovenAnswers",
     "Upstream",
@@ -140,6 +161,7 @@
     "collect_evidence",
     "compute_first_byte_wait",
     "compute_patience",
+    "compute_burst",
     "correct_running",
     "count_independent",
     "decide_admission",
