Drop return slots of a rate that has risen

Cause: the slot after a refusal is one token later at the rate of that moment, up to 1000 s where an instance has no share. Callers saw Retry-After 3 s for as long, also after the rate had risen: one refusal at a rate of 0, then 4 a second, and 3.0 s was still answered 900 s later. Change: a slot is at most the longest delay and one token, at the present rate, ahead. At a rate that stays the same this changes nothing.

--- a/src/fescueflow/routing/return_slots.py
+++ b/src/fescueflow/routing/return_slots.py
@@ -124,9 +124,13 @@
         demand = self._classes.setdefault((service, priority), ClassDemand())
         if demand.waits_since is None:
             demand.waits_since = now
+        token_s = 1.0 / max(supply.rate, RATE_MIN)
+        # The rate may have risen since this slot was computed.
+        latest_at = now + RETRY_AFTER_MAX_S + token_s
+        demand.next_slot_at = min(demand.next_slot_at, latest_at)
         slot_at = max(demand.next_slot_at, now + supply.next_s)
         if slot_at - now < RETRY_AFTER_MAX_S:
-            demand.next_slot_at = slot_at + 1.0 / max(supply.rate, RATE_MIN)
+            demand.next_slot_at = slot_at + token_s
         return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, slot_at - now))
 
     @staticmethod
--- a/tests/routing/test_return_slots.py
+++ b/tests/routing/test_return_slots.py
@@ -38,6 +38,14 @@
         self.take(slots, 100)
         self.assertAlmostEqual(self.take(slots, 1, now=60.0)[0], 0.3)
 
+    def test_slot_of_a_rate_that_has_risen(self):
+        for rate in (0.0, 0.03):
+            with self.subTest(rate=rate):
+                slots = ReturnSlots()
+                self.take(slots, 1, supply=TokenSupply(0, 0, rate, 0.0))
+                self.take(slots, 1, now=1.0)
+                self.assertAlmostEqual(self.take(slots, 1, now=5.0)[0], 0.3)
+
     def test_urgent_callers_do_not_queue_behind_others(self):
         slots = ReturnSlots()
         self.take(slots, 100)
