Keep the tokens of an instance that ceases to hold an upstream

Cause: such an instance dropped its bucket, and began with the initial tokens, up to one, when it held the upstream again. Callers saw nothing; an instance that serves for 0.75 s and then not for 0.5 s sent 32 requests in 40 s to an upstream whose limit of 0.3 a second allows 12. Change: the bucket pauses. It keeps what it had, at most the initial tokens, so that no sum is higher than before.

--- a/src/fescueflow/routing/buckets.py
+++ b/src/fescueflow/routing/buckets.py
@@ -38,6 +38,15 @@
         self._tokens[upstream] = (left, now)
         return left
 
+    def pause(self, upstream: UpstreamId, now: float) -> None:
+        """Add no tokens since the last call, and keep the initial ones at most.
+
+        Notes
+        -----
+        A dropped bucket would have the initial tokens again after each pause.
+        """
+        self.fill(upstream, 0.0, self._compute_initial(upstream), now)
+
     def take(self, upstream: UpstreamId) -> None:
         """Take one token of a bucket that was filled."""
         left, counted_at = self._tokens[upstream]
