Keep the tokens of an instance that ceases to hold an upstream

Cause: such an instance dropped its bucket, and began with the initial tokens, up to one, when it held the upstream again. Callers saw nothing; an instance that serves for 0.75 s and then not for 0.5 s sent 32 requests in 40 s to an upstream whose limit of 0.3 a second allows 12. Change: the bucket pauses. It keeps what it had, at most the initial tokens, so that no sum is higher than before.

--- a/src/fescueflow/gateway/limits.py
+++ b/src/fescueflow/gateway/limits.py
@@ -196,7 +196,7 @@
     def _fill(self, upstream: Upstream, share: LimitShare, now: float) -> float:
         if share.rate <= 0:
             # Tokens don't add up while others hold the upstream.
-            self._buckets.drop(upstream.id)
+            self._buckets.pause(upstream.id, now)
             return 0.0
         return self._buckets.fill(upstream.id, share.rate, share.depth, now)
 
--- a/src/fescueflow/routing/buckets.py
+++ b/src/fescueflow/routing/buckets.py
@@ -38,6 +38,17 @@
         self._tokens[upstream] = (left, now)
         return left
 
+    def pause(self, upstream: UpstreamId, now: float) -> None:
+        """Add no tokens since the last call, and keep the initial ones at most.
+
+        Notes
+        -----
+        A dropped bucket would have the initial tokens again after each pause.
+        """
+        if known := self._tokens.get(upstream):
+            left = min(known[0], self._compute_initial(upstream))
+            self._tokens[upstream] = (left, now)
+
     def take(self, upstream: UpstreamId) -> None:
         """Take one token of a bucket that was filled."""
         left, counted_at = self._tokens[upstream]
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -1,6 +1,7 @@
 """Tests of what an instance notes of the limits in upstreams' answers."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 import logbook
@@ -81,6 +82,37 @@
         self.assertIsNone(self.find_limit())
 
 
+class ChangingHolderTest(unittest.TestCase):
+    """Guards against a new token each time that an instance becomes a holder again."""
+
+    def count_sent(self, name, limit, seconds):
+        """Return the requests of an instance that serves 0.75 s, then not for 0.5 s."""
+        clock = FakeClock()
+        peers = PeerTable(make_peer(name, last_seen_at=clock.monotonic()))
+        limits = UpstreamLimits(own=name, peers=peers, clock=clock, metrics=Metrics())
+        upstream = make_upstream("u1", started_at_ms=1)
+        limits.record_answer(upstream, limit, clock.monotonic(), "a1")
+        sent = 0
+        for step in range(round(seconds / 0.25)):
+            clock.advance(0.25)
+            now = clock.monotonic()
+            own = replace(
+                peers.get_own_record(), is_serving=step % 5 < 3, last_seen_at=now
+            )
+            peers.set_own_record(own)
+            share = limits.find_share(upstream, now)
+            if limits.has_token(upstream, share, now):
+                limits.take_token(upstream)
+                sent += 1
+        return sent
+
+    def test_tokens_of_an_instance_that_serves_now_and_then(self):
+        counts = [self.count_sent(f"edge-{n}", 0.3, 40.0) for n in range(20)]
+        # What the limit allows in the time, and the first token.
+        self.assertLessEqual(max(counts), 0.3 * 40.0 + 1)
+        self.assertGreater(sum(counts), 0)
+
+
 class ChangeLogTest(unittest.TestCase):
     """Guards against a change of a limit that the operator can't see."""
 
