--- a/src/fescueflow/routing/buckets.py
+++ b/src/fescueflow/routing/buckets.py
@@ -45,7 +45,9 @@
         -----
         A dropped bucket would have the initial tokens again after each pause.
         """
-        self.fill(upstream, 0.0, self._compute_initial(upstream), now)
+        if known := self._tokens.get(upstream):
+            left = min(known[0], self._compute_initial(upstream))
+            self._tokens[upstream] = (left, now)
 
     def take(self, upstream: UpstreamId) -> None:
         """Take one token of a bucket that was filled."""
