Remember the end of a limit for as long as others may report it

What callers saw: in large fleets, limits that had ended were believed again for some seconds, and upstreams avoided for it. Cause: an end was forgotten after 10 s. A report that came later named the limit, and nothing was left to compare its age with. Change: ends are remembered for 60 s, as limits of upstreams without an entry are. Why it works: no instance keeps or reports a limit of before its end for longer.

--- a/src/fescueflow/routing/limits.py
+++ b/src/fescueflow/routing/limits.py
@@ -11,9 +11,9 @@
 
 from fescueflow.core import UpstreamId
 
-# Time for which the end of a limit is remembered and reported, in seconds: the time for
-# which an instance counts that is not heard of.
-LIFT_MEMORY_S = 10.0
+# Time for which the end of a limit is remembered and reported, in seconds: as long as a
+# limit without an entry, so that none is reported after its end is forgotten.
+LIFT_MEMORY_S = 60.0
 # Time for which the limit of an upstream without an entry is remembered, in seconds.
 # Entries lapse and return during outages of the store; none of them took longer.
 UNLISTED_MEMORY_S = 60.0
