Let the joined tests of reports and of the platform's words pass

The stand-in selector of tests.gateway.relay_fleet lacked the limits that reports carry now (four errors in test_relay), and gateway/channels.py named the id's header of the platform itself (test_words). Change: the stand-in hears of no limits; the name comes from the adapter.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -17,6 +17,7 @@
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.unanswered import Cause, UnansweredRequests, find_cause
 from fescueflow.http1 import DirectChannel
+from fescueflow.platform import ATTEMPT_ID_VARIABLE
 
 # Value of SO_LINGER with which a connection is reset when it is closed.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -24,6 +25,8 @@
 # reads slowly needs it to have the rest of its answer.
 LINGER_S = 2.0
 LINGER_READ_BYTES = 1 << 16
+# The attempt's id among the headers that the server has read.
+ATTEMPT_ID_KEY = ATTEMPT_ID_VARIABLE.removeprefix("HTTP_")
 CLOSED = "the connection is closed"
 CUT_ANSWER = "the answer is not written whole"
 
@@ -92,7 +95,7 @@
 
     def get_attempt_id(self) -> str:
         """Return the id that the caller gave the request, empty without one."""
-        return str(self.headers.get("X_ATTEMPT_ID", ""))
+        return str(self.headers.get(ATTEMPT_ID_KEY, ""))
 
 
 class CallerTask(WSGITask):
--- a/tests/gateway/relay_fleet.py
+++ b/tests/gateway/relay_fleet.py
@@ -93,9 +93,24 @@
         self._instance.last_value = item.value
 
 
+class NoLimits:
+    """Limits of an instance that hears of none."""
+
+    def record_published(self, rate):
+        """Do nothing."""
+
+    def take_updates(self):
+        return []
+
+
 class NoSelector:
     """Selector of an instance that places no requests."""
 
+    limits = NoLimits()
+
+    def merge_limits(self, updates):
+        """Do nothing."""
+
     def take_holder_updates(self):
         return []
 
