Draw the ports of tests from a range that the system gives to nobody

Cause: a test asked for a free port, released it and bound it later. Meanwhile the system could give it to another socket, and four requests in a row could find the same one (500 requests found 488, 494 and 495 different ports in three runs). Change: ports are drawn below the range of outgoing connections, in an order of its own in each process, none twice in a round. Failed before: test_ports_that_others_may_get_meanwhile, in 3 of 3 runs.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -2,8 +2,10 @@
 
 import atexit
 import http.client
+import itertools
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -25,6 +27,10 @@
 END_TIMEOUT_S = 30.0
 READ_TIMEOUT_S = 30.0
 CONTROL_ATTEMPTS = 40
+# Below the ports that systems give to connections and to sockets that name none.
+PORTS = range(10_000, 32_000)
+# In an order of its own in each process; an iterator that threads may share.
+DRAWN_PORTS = itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
 METRIC_LINE = re.compile(r"^(\w+(?:\{[^}]*\})?) (\S+)$")
 
 
@@ -33,17 +39,25 @@
 
 
 def find_free_port(host, socket_types=(socket.SOCK_STREAM, socket.SOCK_DGRAM)):
-    """Return a port of a loopback address that is free for TCP and UDP."""
-    while True:
-        with socket.socket(socket.AF_INET, socket_types[0]) as first:
-            first.bind((host, 0))
-            port = first.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket_types[-1]) as second:
-                try:
-                    second.bind((host, port))
-                except OSError:
-                    continue
-                return port
+    """Return a port of a loopback address that is free for TCP and UDP.
+
+    Notes
+    -----
+    It is bound later. The system gives none of these ports to others meanwhile, and
+    this process finds no port twice before it has found all.
+    """
+    for port in DRAWN_PORTS:
+        with (
+            socket.socket(socket.AF_INET, socket_types[0]) as first,
+            socket.socket(socket.AF_INET, socket_types[-1]) as second,
+        ):
+            try:
+                first.bind((host, port))
+                second.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("the ports are endless")
 
 
 def fetch(address, path, timeout_s=READ_TIMEOUT_S):
--- a/tests/standins/test_harness.py
+++ b/tests/standins/test_harness.py
@@ -165,3 +165,10 @@
         port = find_free_port("127.0.0.4")
         with socket.create_server(("127.0.0.4", port)) as server:
             self.assertEqual(server.getsockname()[1], port)
+
+    def test_ports_that_others_may_get_meanwhile(self):
+        """Guards against two servers that are told the same port."""
+        ports = [find_free_port("127.0.0.4") for _ in range(500)]
+        self.assertEqual(len(set(ports)), len(ports))
+        with socket.create_server(("127.0.0.4", 0)) as server:
+            self.assertLess(max(ports), server.getsockname()[1])
