Read loads of four figures

Engines of some services add to X-Server-Load how long work takes on their machine. Such a header was dropped as malformed, so that these upstreams counted as idle but for the reports of instances.

The new test failed before; tests.gateway.test_load_logs passes.

--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -32,7 +32,8 @@
 PRIORITY = "X-Request-Priority"
 # Address of an upstream from which the receiver copies the cached part of the prompt.
 COPY_FROM = "Kv-Fetch"
-# Running and waiting requests at the responding upstream, and its slots.
+# Running and waiting requests at the responding upstream, and its slots. Some add how
+# long work takes there at this moment, in percent of the usual time.
 UPSTREAM_LOAD_HEADER = "X-Server-Load"
 # "1" in all responses of an upstream that is shutting down.
 LEAVING_HEADER = "Server-Leaving"
@@ -211,9 +212,9 @@
         ``None`` if the header is missing or malformed.
     """
     fields = (value or "").split(",")
-    if len(fields) != 3 or not all(field.strip().isdecimal() for field in fields):
+    if len(fields) not in (3, 4) or not all(f.strip().isdecimal() for f in fields):
         return None
-    running, waiting, _ = map(int, fields)
+    running, waiting = map(int, fields[:2])
     return running + waiting
 
 
--- a/tests/gateway/test_load_logs.py
+++ b/tests/gateway/test_load_logs.py
@@ -33,6 +33,12 @@
             self.assertIsNone(parse_upstream_load(value))
         self.assertEqual(parse_upstream_load("3, 1, 8"), 4)
 
+    def test_load_with_the_slowdown_of_the_machine(self):
+        """Guards against upstreams of four figures that count as idle."""
+        self.assertEqual(parse_upstream_load("3,1,8,140"), 4)
+        for value in ("3,1,8,", "3,1,8,x", "3,1,8,140,1"):
+            self.assertIsNone(parse_upstream_load(value))
+
     def test_classification_of_estimates(self):
         self.assertEqual(classify_estimate(9, 2.0), "low")
         self.assertEqual(classify_estimate(1, 7.5), "high")
