--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -109,7 +109,7 @@
         self._departure = Departure(clock)
         self._stopped = threading.Event()
         self._platform_state = PlatformState()
-        self._loads = LoadTracker()
+        self._loads = LoadTracker(boot.zone)
         self._pool = ConnectionPool(clock)
         self._peers = PeerTable(make_own_record(boot, clock, random_source))
         self._selector = UpstreamSelector(
