Name a second source of a prefix to its presumed holder

Cause: instances send prompts to the engine that they believe to cache the prefix. Change: Kv-Fetch names the upstream that most likely has the prefix beside the holder.

--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -248,8 +248,7 @@
             passage = self._gate.choose(in_time, service, priority, now)
             chosen = passage.placement
             upstream = chosen.candidate.upstream
-            is_held = any(source.id == upstream.id for source in sources)
-            source = sources[0] if sources and not is_held else None
+            source = self._choose_source(prompt, upstream, sources, usable)
             self._holders.record_use(service, prompt.key, upstream.id, listed, now)
             active_request = self._loads.start(
                 upstream.id, service, chosen.prefill_tokens, now
@@ -351,6 +350,24 @@
         names = self._holders.rank_sources(prompt.key, frozenset(reachable), expected)
         return [reachable[name] for name in names]
 
+    def _choose_source(
+        self,
+        prompt: Prompt,
+        upstream: Upstream,
+        sources: list[Upstream],
+        usable: list[Upstream],
+    ) -> Upstream | None:
+        """Return the upstream from which the selected one copies what it lacks."""
+        if not is_copy_worthwhile(prompt, self._get_copy_rate(upstream.service)):
+            return None
+        if sources and all(source.id != upstream.id for source in sources):
+            return sources[0]
+        others = {u.id: u for u in usable if not self._health.has_failed(u.id)}
+        name = self._holders.find_second_source(
+            prompt.key, frozenset(others), upstream.id
+        )
+        return others[name] if name is not None else None
+
     def _get_copy_rate(self, service: ServiceId) -> float:
         table = self._platform_state.get_table()
         known = table.services.get(service) if table else None
