Place requests by the speed that upstreams tell

Engines of some services add to X-Server-Load how long work takes there at this moment. The figure was ignored, so that an engine that is slow for a moment got as many requests as the others. Its header was not read from refusals at all, so that a full upstream's count was lost where it matters most.

The cost and the wait of a placement are multiplied by it, so that admission uses it, too. The load header of a refusal is read and its count recorded. The line placed tells the slowdown and its age.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -32,7 +32,6 @@
     is_leaving,
     parse_limit,
     parse_pause,
-    parse_upstream_load,
 )
 from fescueflow.routing import SURVIVAL_S, AttemptFailure, PartId, Prompt, Upstream
 
@@ -115,6 +114,7 @@
             raise ExchangeFailed(AttemptFailure.MISDIRECTED, "another server responded")
         self._client.record_upstream_wishes(self, attempt_id)
         if exchange.get_header(NOT_RUN_HEADER):
+            self._client.record_load_header(self, attempt_id, is_refused=True)
             raise ExchangeFailed(
                 AttemptFailure.REFUSED, f"refused with status {status}"
             )
@@ -125,11 +125,7 @@
         if status in REFUSED_STATUSES:
             # Callers would read this status as a guarantee that nothing ran.
             raise ExchangeFailed(AttemptFailure.SERVER_ERROR, f"status {status}")
-        reported_running = parse_upstream_load(
-            exchange.get_header(UPSTREAM_LOAD_HEADER)
-        )
-        if reported_running is not None:
-            self._client.record_reported_load(self, attempt_id, reported_running)
+        self._client.record_load_header(self, attempt_id)
 
     def iterate_parts(
         self, deadline: float, get_limit: Callable[[], float] | None = None
@@ -279,8 +275,24 @@
             started_at=self._clock.monotonic(),
         )
 
+    def record_load_header(
+        self, attempt: Attempt, attempt_id: str, is_refused: bool = False
+    ) -> None:
+        """Store the load and the speed that a response reports, also a refusal."""
+        reported_running = self._selector.speeds.record_load_header(
+            attempt.selection.upstream,
+            attempt.exchange.get_header(UPSTREAM_LOAD_HEADER),
+            self._clock.monotonic(),
+        )
+        if reported_running is not None:
+            self.record_reported_load(attempt, attempt_id, reported_running, is_refused)
+
     def record_reported_load(
-        self, attempt: Attempt, attempt_id: str, reported_running: int
+        self,
+        attempt: Attempt,
+        attempt_id: str,
+        reported_running: int,
+        is_refused: bool = False,
     ) -> None:
         """Store the request count that an upstream reported.
 
@@ -289,10 +301,11 @@
         attempt : Attempt
         attempt_id : str
         reported_running : int
-            Requests that run or wait there, including this one.
+            Requests that run or wait there, including this one unless it was refused.
+        is_refused : bool, optional
         """
         selection = attempt.selection
-        expected = selection.placement.candidate.load.running + 1
+        expected = selection.placement.candidate.load.running + (not is_refused)
         upstream = selection.upstream.id
         # Other instances are told of upstreams that can't take another request.
         is_high = reported_running + 1 > selection.bound.limit
--- a/src/fescueflow/gateway/selected.py
+++ b/src/fescueflow/gateway/selected.py
@@ -51,6 +51,12 @@
             **describe_share(self.share),
             "waiting_tokens": round(load.waiting_tokens),
             "failure_rate": round(load.failure_rate, 2),
+            "slowdown": round(load.slowdown, 2),
+            "slowdown_age_ms": (
+                None
+                if load.slowdown_age_s is None
+                else round(load.slowdown_age_s * 1000)
+            ),
             "cached": self.placement.is_cached,
             "copied_from": str(self.source.id) if self.source else None,
         }
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -12,6 +12,7 @@
 from fescueflow.gateway.rate_gate import RETRY_AFTER_MS, RateGate
 from fescueflow.gateway.rotation import count_reports_per_round
 from fescueflow.gateway.selected import Selection
+from fescueflow.gateway.speeds import UpstreamSpeeds
 from fescueflow.metrics import Metrics
 from fescueflow.platform import BootSettings
 from fescueflow.routing import (
@@ -73,6 +74,7 @@
         self.limits = UpstreamLimits(
             own=boot.instance, peers=peers, clock=clock, metrics=metrics
         )
+        self.speeds = UpstreamSpeeds(metrics)
         self._gate = RateGate(
             own=boot.instance,
             platform_state=platform_state,
@@ -192,6 +194,7 @@
             self._holders.retain(kept)
             self._loads.retain(kept)
             self.limits.retain(kept)
+            self.speeds.retain(kept)
 
     def select(
         self,
@@ -287,16 +290,19 @@
     def _list_candidates(
         self, service: ServiceId, usable: list[Upstream], now: float
     ) -> list[Candidate]:
-        """Return upstreams with the load that the whole fleet puts on them."""
+        """Return upstreams with their speed and the load of the whole fleet on them."""
         interval_s = REPORT_INTERVAL_S * self._count_reports_per_round(now)
         names = [upstream.id for upstream in usable]
         loads = self._loads.estimate_loads(names, service, now, interval_s)
+        slowdowns = self.speeds.estimate(names, service, now)
         return [
             Candidate(
                 upstream,
                 replace(
                     loads[upstream.id],
                     failure_rate=self._health.get_failure_rate(upstream.id),
+                    slowdown=slowdowns[upstream.id].factor,
+                    slowdown_age_s=slowdowns[upstream.id].age_s,
                 ),
             )
             for upstream in usable
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -63,6 +63,7 @@
     parse_limit,
     parse_pause,
     parse_upstream_load,
+    parse_upstream_percent,
     read_call_headers,
     select_response_headers,
 )
@@ -117,6 +118,7 @@
     "parse_table",
     "parse_upstream",
     "parse_upstream_load",
+    "parse_upstream_percent",
     "read_call_headers",
     "render_list",
     "select_response_headers",
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -48,6 +48,9 @@
 # Highest limit that is told from a higher one, in requests a second: above what any
 # fleet of this size sends to one upstream.
 LIMIT_MAX_PER_S = 1e6
+# Digits of a figure in the load header, above any count of requests; longer numbers
+# would take time to convert.
+LOAD_DIGITS_MAX = 9
 
 MISDIRECTED_STATUS = 421
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -211,11 +214,40 @@
     int or None
         ``None`` if the header is missing or malformed.
     """
-    fields = (value or "").split(",")
-    if len(fields) not in (3, 4) or not all(f.strip().isdecimal() for f in fields):
+    figures = parse_load_figures(value)
+    return None if figures is None else figures[0] + figures[1]
+
+
+def parse_upstream_percent(value: str | None) -> int | None:
+    """Return how long work takes at an upstream, in percent of the usual time.
+
+    Parameters
+    ----------
+    value : str or None
+        Value of the load header of a response.
+
+    Returns
+    -------
+    int or None
+        At least 1; ``None`` if the header is missing or malformed, or has no such
+        figure.
+    """
+    figures = parse_load_figures(value)
+    return figures[3] if figures is not None and len(figures) > 3 else None
+
+
+def parse_load_figures(value: str | None) -> list[int] | None:
+    """Return the three or four figures of a load header, ``None`` if malformed."""
+    fields = [field.strip() for field in (value or "").split(",")]
+    if len(fields) not in (3, 4):
+        return None
+    if not all(f.isdecimal() and len(f) <= LOAD_DIGITS_MAX for f in fields):
+        return None
+    figures = [int(field) for field in fields]
+    if len(figures) == 4 and figures[3] == 0:
+        # No work takes no time.
         return None
-    running, waiting = map(int, fields[:2])
-    return running + waiting
+    return figures
 
 
 def parse_pause(value: str | None) -> float:
@@ -304,6 +336,7 @@
     "parse_limit",
     "parse_pause",
     "parse_upstream_load",
+    "parse_upstream_percent",
     "read_call_headers",
     "select_response_headers",
 ]
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -92,6 +92,7 @@
     compute_first_byte_wait,
     compute_patience,
 )
+from fescueflow.routing.speeds import Slowdown, SpeedTable
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
 __all__ = [
@@ -146,6 +147,8 @@
     "Service",
     "ServiceId",
     "SilenceWatch",
+    "Slowdown",
+    "SpeedTable",
     "TokenBuckets",
     "TokenSupply",
     "UnknownKey",
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -60,7 +60,9 @@
     ``failure_rate`` is the recent fraction of failed attempts, 0 to 1, and
     ``own_running`` counts the requests in ``running`` that this instance has sent.
     ``count_age_s`` is the age of the upstream's own request count on which ``running``
-    is based; ``None`` if there is no such count.
+    is based; ``None`` if there is no such count. ``slowdown`` is the factor by which
+    work takes longer there than the constants above say, and ``slowdown_age_s`` the age
+    of its latest sample, ``None`` if there is none.
     """
 
     running: float = 0.0
@@ -68,6 +70,8 @@
     failure_rate: float = 0.0
     own_running: int = 0
     count_age_s: float | None = None
+    slowdown: float = 1.0
+    slowdown_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,7 +177,7 @@
     """
     slots = max(1, candidate.upstream.slots)
     ahead = max(0.0, candidate.load.running + 1 - slots)
-    return ahead * hold_ms / slots
+    return ahead * hold_ms / slots * candidate.load.slowdown
 
 
 def estimate_cost_ms(load: UpstreamLoad, prefill_tokens: int) -> float:
@@ -182,11 +186,12 @@
     Notes
     -----
     The sum of the prefill time, the delay by running requests and the expected cost of
-    a failure.
+    a failure. The first two take longer at a slow upstream.
     """
     prefill_ms = (load.waiting_tokens + prefill_tokens) / PREFILL_TOKENS_PER_MS
     risk_ms = load.failure_rate * FAILURE_COST_MS
-    return prefill_ms + load.running * RUNNING_COST_MS + risk_ms
+    running_ms = load.running * RUNNING_COST_MS
+    return prefill_ms * load.slowdown + running_ms * load.slowdown + risk_ms
 
 
 def measure_balance(
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -87,9 +87,16 @@
     return Upstream(**{**values, **changes})
 
 
-def make_candidate(name="u1", running=0, waiting_tokens=0, failure_rate=0.0, **changes):
+def make_candidate(
+    name="u1",
+    running=0,
+    waiting_tokens=0,
+    failure_rate=0.0,
+    slowdown=1.0,
+    **changes,
+):
     """Return a candidate with the given load."""
-    load = UpstreamLoad(running, waiting_tokens, failure_rate)
+    load = UpstreamLoad(running, waiting_tokens, failure_rate, slowdown=slowdown)
     return Candidate(make_upstream(name, **changes), load)
 
 
