Learn the speed of engines that don't tell it from their first events

Engines of other types read prompts at other speeds than the constants of placement say, and not all tell how long work takes. Placement and admission were off by their factor for as long as they ran.

The time from sending a request to the first event of its stream is compared with the expected one; what the percent figure does not explain is stored with a weight of 0.25. Samples that queues, copies, retries, silences, cold upstreams, short prompts or evicted prefixes may have delayed are left out and counted by cause.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -33,7 +33,14 @@
     parse_limit,
     parse_pause,
 )
-from fescueflow.routing import SURVIVAL_S, AttemptFailure, PartId, Prompt, Upstream
+from fescueflow.routing import (
+    SURVIVAL_S,
+    AttemptFailure,
+    FirstEvent,
+    PartId,
+    Prompt,
+    Upstream,
+)
 
 # Largest error of an estimated load that counts as accurate: the imbalance bound allows
 # three requests above the multiple of the mean.
@@ -73,7 +80,9 @@
         self.event_count = 0
         # When the first event arrived, and the latest one.
         self.begun_at = self.progressed_at = started_at
-        self.started_at = started_at
+        self.started_at = self.sent_at = started_at
+        # Requests at the upstream, as the head of the response counts them.
+        self.reported_running: int | None = None
         self.exchange = exchange
         self._connection = connection
         self._client = client
@@ -97,6 +106,7 @@
             body=body,
         )
         self.exchange.method = method
+        self.sent_at = self._client.get_time()
         self.exchange.send_request(data, self._deadline)
 
     def read_head(self, deadline: float, attempt_id: str) -> None:
@@ -161,6 +171,7 @@
             self.selection.active_request.mark_prompt_read()
             self.begun_at = now
             self._client.record_begun(self)
+            self._client.record_first_event(self)
         self.event_count += count
         self.progressed_at = now
         self._client.record_alive(self)
@@ -275,6 +286,10 @@
             started_at=self._clock.monotonic(),
         )
 
+    def get_time(self) -> float:
+        """Return the time of the monotonic clock, in seconds."""
+        return self._clock.monotonic()
+
     def record_load_header(
         self, attempt: Attempt, attempt_id: str, is_refused: bool = False
     ) -> None:
@@ -284,6 +299,7 @@
             attempt.exchange.get_header(UPSTREAM_LOAD_HEADER),
             self._clock.monotonic(),
         )
+        attempt.reported_running = reported_running
         if reported_running is not None:
             self.record_reported_load(attempt, attempt_id, reported_running, is_refused)
 
@@ -387,6 +403,20 @@
             attempt.selection.upstream, attempt.prompt.shared_parts, attempt.started_at
         )
 
+    def record_first_event(self, attempt: Attempt) -> None:
+        """Record how long the first event of a stream took."""
+        selection = attempt.selection
+        event = FirstEvent(
+            placement=selection.placement,
+            prompt=attempt.prompt,
+            observed_ms=(attempt.begun_at - attempt.sent_at) * 1000,
+            reported_running=attempt.reported_running,
+            is_retry=selection.is_retry,
+            is_silent=attempt.is_silent,
+            is_copied=selection.source is not None,
+        )
+        self._selector.speeds.record_first_event(event, attempt.begun_at)
+
     def record_abandoned(self, attempt: Attempt) -> None:
         """Record an attempt whose upstream may still begin to answer it."""
         if not attempt.has_begun:
--- a/src/fescueflow/gateway/selected.py
+++ b/src/fescueflow/gateway/selected.py
@@ -15,7 +15,8 @@
     the prompt, ``bound`` the load bound of the service, and ``report_age_s`` the mean
     age of the loads that other instances had reported. ``is_isolated`` is whether the
     request was sent apart because upstreams may crash under it, and ``share`` that in
-    the limit that the upstream names.
+    the limit that the upstream names. ``is_retry`` is whether the request was sent to
+    another upstream before.
     """
 
     placement: Placement
@@ -25,6 +26,7 @@
     report_age_s: float | None = None
     is_isolated: bool = False
     share: LimitShare | None = None
+    is_retry: bool = False
 
     @property
     def upstream(self) -> Upstream:
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -272,6 +272,7 @@
                 age_s,
                 is_isolated,
                 passage.share,
+                is_retry=bool(tried),
             )
 
     def _count_healthy_upstreams(
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -92,6 +92,12 @@
     compute_first_byte_wait,
     compute_patience,
 )
+from fescueflow.routing.speed_samples import (
+    FirstEvent,
+    LeftOut,
+    estimate_first_event_ms,
+    find_reason_to_leave_out,
+)
 from fescueflow.routing.speeds import Slowdown, SpeedTable
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
@@ -118,8 +124,10 @@
     "Culprit",
     "Customer",
     "EngineTraits",
+    "FirstEvent",
     "HolderTable",
     "HolderUpdate",
+    "LeftOut",
     "Limit",
     "LimitId",
     "LimitShare",
@@ -168,11 +176,13 @@
     "count_independent",
     "decide_admission",
     "estimate_cost_ms",
+    "estimate_first_event_ms",
     "find_balanced",
     "find_culprits",
     "find_customer",
     "find_holder",
     "has_quarantine",
+    "find_reason_to_leave_out",
     "find_route",
     "is_copy_worthwhile",
     "make_crash_id",
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -32,6 +32,9 @@
         return self._headers.get(name)
 
 
+PROMPT = Prompt("", 0, 11_000)
+
+
 class LoadHeaderTest(unittest.TestCase):
     """Guards against headers whose figures are lost or misread."""
 
@@ -131,5 +134,36 @@
         self.assertEqual(metrics.get_count("upstream_loads_malformed"), 1)
 
 
+class FirstEventTest(SpeedCase):
+    """Guards against observed times that count wrongly or not at all."""
+
+    def run_stream(self, seconds, load="1,0,16", tried=(), count=1):
+        for _ in range(count):
+            attempt = self.open_attempt(200, load, tried=tried, prompt=PROMPT)
+            self.clock.advance(1.0)
+            attempt.send("POST", "/", [], b"")
+            attempt.read_head(0.0, "a1")
+            self.clock.advance(seconds)
+            attempt.record_events(1, self.clock.monotonic())
+            attempt.record_events(1, self.clock.monotonic() + 9.0)
+            attempt.selection.active_request.end()
+        return attempt.selection.upstream.id
+
+    def test_time_since_the_request_was_sent(self):
+        upstream = self.run_stream(0.22, tried=[], count=1)
+        self.assertGreater(self.get_slowdown(upstream), 1.1)
+
+    def test_left_out_and_counted(self):
+        metrics = self.instance.selector.speeds._metrics
+        for changes, why in (
+            ({"load": "17,1,16"}, "queued"),
+            ({"tried": ["x"]}, "retry"),
+        ):
+            upstream = self.run_stream(0.22, **changes)
+            self.assertEqual(self.get_slowdown(upstream), 1.0)
+            name = "upstream_speed_samples_left_out"
+            self.assertEqual(metrics.get_count(name, why=why), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_speeds.py
+++ b/tests/routing/test_speeds.py
@@ -8,18 +8,26 @@
 
 from fescueflow.core import UpstreamId
 from fescueflow.routing import (
+    Candidate,
+    FirstEvent,
+    LeftOut,
+    Placement,
+    Prompt,
     ServiceId,
     SpeedTable,
     UpstreamLoad,
     estimate_cost_ms,
+    estimate_first_event_ms,
+    find_reason_to_leave_out,
     rank_placements,
     select_in_time,
 )
 from fescueflow.routing.speeds import LOG_STEP
-from tests.routing.builders import ENGINES, make_candidate, make_prompt
+from tests.routing.builders import ENGINES, make_candidate, make_prompt, make_upstream
 
 OTHERS = ServiceId("other-engines")
 U1, U2, U3, U4 = (UpstreamId(f"u{n}") for n in range(1, 5))
+USUAL_LOAD = UpstreamLoad()
 SAMPLES = st.tuples(st.sampled_from((U1, U2, U3)), st.integers(1, 10**9))
 
 
@@ -99,6 +107,87 @@
         self.assertEqual(self.get_factor(U2), 1.0)
 
 
+class TimeTest(SpeedCase):
+    """Guards against engines that are slow and don't tell it."""
+
+    def observe(self, upstream, observed_ms, count=1, expected_ms=100.0):
+        for _ in range(count):
+            self.table.record_time(
+                upstream, ENGINES, observed_ms, expected_ms, self.now
+            )
+            self.now += 0.1
+
+    def test_permanently_slow(self):
+        self.observe(U1, 200.0, count=12)
+        self.assertAlmostEqual(self.get_factor(U1), 2.0, delta=0.15)
+        self.assertEqual(self.get_factor(U2), 1.0)
+
+    def test_slow_for_300_ms(self):
+        self.observe(U1, 400.0)
+        self.assertLess(self.get_factor(U1), 1.5)
+
+    def test_service_of_another_engine_type(self):
+        for upstream in (U1, U2, U3):
+            self.observe(upstream, 110 / 66.2 * 100, count=20)
+        self.assertAlmostEqual(self.get_factor(U4), 110 / 66.2, delta=0.05)
+        self.now += 30.0
+        self.assertAlmostEqual(self.get_factor(U1), 110 / 66.2, delta=0.05)
+
+    def test_percent_explains_a_part_of_the_time(self):
+        for _ in range(30):
+            self.tell({U1: 200})
+            self.observe(U1, 300.0)
+        self.tell({U1: 200})
+        self.assertAlmostEqual(self.get_factor(U1), 3.0, delta=0.2)
+        self.tell({U1: 100})
+        self.assertAlmostEqual(self.get_factor(U1), 1.5, delta=0.15)
+
+
+class FirstEventTest(unittest.TestCase):
+    """Guards against delays that count as a slow upstream."""
+
+    def find_reason(self, observed_ms=150.0, load=USUAL_LOAD, **changes):
+        candidate = Candidate(make_upstream("u1", slots=16, cold_until=1.0), load)
+        prompt = Prompt("k", 0, 11_000)
+        placement = Placement(candidate, 0.0, False, 11_000)
+        values = {"placement": placement, "prompt": prompt, "observed_ms": observed_ms}
+        return find_reason_to_leave_out(FirstEvent(**{**values, **changes}), 2.0)
+
+    def test_expected_time(self):
+        load = UpstreamLoad(20, 1_100, failure_rate=0.5, slowdown=4.0)
+        placement = Placement(Candidate(make_upstream("u1"), load), 0.0, False)
+        self.assertAlmostEqual(estimate_first_event_ms(placement, 11_000), 123.0)
+
+    def test_usual_sample(self):
+        self.assertIsNone(self.find_reason())
+        self.assertIsNone(self.find_reason(reported_running=16))
+
+    def test_each_delay(self):
+        full, cached = UpstreamLoad(16), Prompt("k", 20_000, 11_000)
+        for reason, changes in (
+            (LeftOut.RETRY, {"is_retry": True}),
+            (LeftOut.SILENT, {"is_silent": True}),
+            (LeftOut.COPIED, {"is_copied": True}),
+            (LeftOut.QUEUED, {"reported_running": 17}),
+            (LeftOut.QUEUED, {"load": full}),
+            (LeftOut.IMPLAUSIBLE, {"observed_ms": 900.0}),
+            (LeftOut.IMPLAUSIBLE, {"observed_ms": 20.0}),
+            (LeftOut.EVICTED, {"prompt": cached, "observed_ms": 300.0}),
+        ):
+            with self.subTest(reason=reason):
+                self.assertIs(self.find_reason(**changes), reason)
+        self.assertIsNone(self.find_reason(load=full, reported_running=3))
+
+    def test_cold_upstream_and_short_prompt(self):
+        cold = make_candidate("u1", cold_until=3.0, slots=16)
+        for placement, reason in (
+            (Placement(cold, 0.0, False, 11_000), LeftOut.COLD),
+            (Placement(cold, 0.0, True, 11_000, is_copied=True), LeftOut.COPIED),
+            (Placement(make_candidate("u1"), 0.0, False, 4_000), LeftOut.SHORT),
+        ):
+            self.assertIs(self.find_reason(placement=placement), reason)
+
+
 class SlowPlacementTest(unittest.TestCase):
     """Guards against slow upstreams that get as many requests as the others."""
 
@@ -123,6 +212,12 @@
         risky = UpstreamLoad(failure_rate=0.5, slowdown=4.0)
         self.assertEqual(estimate_cost_ms(risky, 0), 300.0)
 
+    @given(st.integers(0, 99), st.integers(0, 10**6), st.floats(0, 1))
+    def test_usual_speed_changes_nothing(self, running, tokens, failure_rate):
+        load = UpstreamLoad(running, tokens, failure_rate)
+        expected = (tokens + 500) / 110.0 + running * 0.15 + failure_rate * 600.0
+        self.assertEqual(estimate_cost_ms(load, 500), expected)
+
     def test_upstream_too_slow_for_the_deadline(self):
         placements = self.rank(1.0, 8.0)
         found = select_in_time(placements, 500.0, 0.0)
