Join what instances know of upstreams' speed

An instance sends an upstream a request in many seconds, so that its own samples are old when it places the next one, or there are none.

A report tells up to 8 upstreams as [id, slowdown, age_s] under speeds. A receiver takes the median of up to 7 sources for each listed upstream, averages it with its own estimate by their remaining weights, and lets one source move the result by a factor of 2 at most as far as the other sources agree within a factor of 2. What was told is not told again.

--- a/src/fescueflow/gateway/report_codec.py
+++ b/src/fescueflow/gateway/report_codec.py
@@ -21,7 +21,8 @@
     encode_quarantine,
 )
 from fescueflow.gateway.records import PeerRecord
-from fescueflow.routing import HolderUpdate, LimitUpdate, ServiceId
+from fescueflow.gateway.speed_codec import decode_speeds, encode_speeds
+from fescueflow.routing import HolderUpdate, LimitUpdate, ServiceId, SpeedUpdate
 
 # Uncompressed size of a report; several times the largest one.
 REPORT_BYTES_MAX = 1 << 20
@@ -42,6 +43,7 @@
     counts: list[CountUpdate] = field(default_factory=list)
     quarantine: QuarantineReport = QuarantineReport()
     limits: list[LimitUpdate] = field(default_factory=list)
+    speeds: list[SpeedUpdate] = field(default_factory=list)
 
 
 def encode_report(report: PeerReport, now: float) -> bytes:
@@ -72,6 +74,7 @@
         ],
         **encode_quarantine(report.quarantine),
         **encode_limits(report.limits),
+        **encode_speeds(report.speeds),
     }
     return compress_report(json.dumps(document, separators=(",", ":")).encode())
 
@@ -156,6 +159,7 @@
         ]
         quarantine = decode_quarantine(document)
         limits = decode_limits(document)
+        speeds = decode_speeds(document)
     except (
         ArithmeticError,
         AttributeError,
@@ -166,7 +170,9 @@
         raise ValueError(f"malformed report: {error!r}") from error
     if not records:
         raise ValueError("the report names no instance")
-    return PeerReport(records, loads, holder_updates, counts, quarantine, limits)
+    return PeerReport(
+        records, loads, holder_updates, counts, quarantine, limits, speeds
+    )
 
 
 def decode_holder(entry: Any) -> HolderUpdate:
--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -104,6 +104,7 @@
             counts=self._loads.list_counts(now),
             quarantine=self._quarantine.make_report(is_full),
             limits=self._selector.limits.take_updates(),
+            speeds=self._selector.speeds.take_updates(now),
         )
         return encode_report(report, now)
 
@@ -159,6 +160,7 @@
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
         self._selector.merge_limits(report.limits)
+        self._selector.speeds.merge(sender.instance, report.speeds, now)
         crashed = self._quarantine.merge(report.quarantine, sender.instance)
         self._selector.mark_crashed(crashed)
 
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -74,7 +74,7 @@
         self.limits = UpstreamLimits(
             own=boot.instance, peers=peers, clock=clock, metrics=metrics
         )
-        self.speeds = UpstreamSpeeds(metrics)
+        self.speeds = UpstreamSpeeds(platform_state, metrics)
         self._gate = RateGate(
             own=boot.instance,
             platform_state=platform_state,
--- a/src/fescueflow/gateway/speeds.py
+++ b/src/fescueflow/gateway/speeds.py
@@ -1,11 +1,13 @@
 """Speeds of upstreams, as their responses tell them."""
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import logbook
 
-from fescueflow.core import UpstreamId
+from fescueflow.core import InstanceId, UpstreamId
+from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.gateway.report_turns import ReportTurns
 from fescueflow.metrics import Metrics
 from fescueflow.platform import parse_upstream_load, parse_upstream_percent
 from fescueflow.routing import (
@@ -13,11 +15,18 @@
     ServiceId,
     Slowdown,
     SpeedTable,
+    SpeedUpdate,
     Upstream,
     estimate_first_event_ms,
     find_reason_to_leave_out,
 )
 
+# Upstreams in one report, about 20 bytes each, and those with the latest samples of
+# which they are taken by turns: about as many as an instance sends requests to in the
+# seconds for which others use a slowdown.
+REPORTED_SPEEDS_MAX = 8
+REPORTED_LATEST = 16
+
 log = logbook.Logger("speeds")
 
 
@@ -26,13 +35,16 @@
 
     Parameters
     ----------
+    platform_state : PlatformState
     metrics : Metrics
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, platform_state: PlatformState, metrics: Metrics) -> None:
+        self._platform_state = platform_state
         self._metrics = metrics
         self._lock = threading.Lock()
         self._table = SpeedTable()
+        self._turns: ReportTurns[SpeedUpdate] = ReportTurns(REPORTED_SPEEDS_MAX)
 
     def record_sample(
         self,
@@ -99,6 +111,27 @@
             upstream.id, upstream.service, None, event.observed_ms, expected_ms, now
         )
 
+    def take_updates(self, now: float) -> list[SpeedUpdate]:
+        """Return the slowdowns to report to other instances, by turns."""
+        with self._lock:
+            latest = self._table.list_updates(now)[:REPORTED_LATEST]
+            return self._turns.take(sorted(latest, key=lambda u: u.upstream))
+
+    def merge(
+        self, source: InstanceId, updates: Iterable[SpeedUpdate], now: float
+    ) -> None:
+        """Store the slowdowns of listed upstreams that another instance reports."""
+        known = list(updates)
+        if not known:
+            return
+        services = {u.id: u.service for u in self._platform_state.list_all()}
+        for update in known:
+            service = services.get(update.upstream)
+            if service is not None:
+                with self._lock:
+                    self._table.merge(source, service, update, now)
+                self._metrics.count("upstream_speed_samples", signal="told")
+
     def get_slowdown(
         self, upstream: UpstreamId, service: ServiceId, now: float
     ) -> float:
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -100,6 +100,7 @@
 )
 from fescueflow.routing.speeds import Slowdown, SpeedTable
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
+from fescueflow.routing.told_speeds import SpeedUpdate
 
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
@@ -157,6 +158,7 @@
     "SilenceWatch",
     "Slowdown",
     "SpeedTable",
+    "SpeedUpdate",
     "TokenBuckets",
     "TokenSupply",
     "UnknownKey",
--- a/src/fescueflow/routing/speed_samples.py
+++ b/src/fescueflow/routing/speed_samples.py
@@ -9,7 +9,7 @@
 
 from fescueflow.routing.placement import Placement, estimate_cost_ms
 from fescueflow.routing.prompts import Prompt
-from fescueflow.routing.speeds import SLOWDOWN_MAX, SLOWDOWN_MIN
+from fescueflow.routing.speed_signals import SLOWDOWN_MAX, SLOWDOWN_MIN
 
 # Part of the time to the first event that does not depend on the speed, in
 # milliseconds: the longest round trip between zones (7.8 ms) and a short wait for a
--- a/src/fescueflow/routing/speeds.py
+++ b/src/fescueflow/routing/speeds.py
@@ -6,22 +6,20 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
-from statistics import median
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
-from fescueflow.core import UpstreamId
+from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.routing.model import ServiceId
+from fescueflow.routing.speed_signals import (
+    LOG_MAX,
+    LOG_MIN,
+    SpeedSignal,
+    clip,
+    compute_log,
+)
+from fescueflow.routing.told_speeds import TOLD_AGE_MAX_S, SpeedUpdate, ToldSpeeds
 
-# Range of slowdowns, as factors. Beyond it, an upstream is hardly useful at all, or its
-# figure is wrong.
-SLOWDOWN_MIN = 0.25
-SLOWDOWN_MAX = 8.0
-LOG_MIN = math.log(SLOWDOWN_MIN)
-LOG_MAX = math.log(SLOWDOWN_MAX)
-# Largest change by one sample or one source, as the logarithm of a factor: three
-# samples cover the range from the usual speed to the lowest one.
-LOG_STEP = math.log(2.0)
 # Value that stands for the usual duration of work in an upstream's own figure.
 USUAL_PERCENT = 100
 # Time constant of the decay of the percent figure, in seconds: engines change their
@@ -30,10 +28,6 @@
 # Age up to which a percent figure is part of the service's median, in seconds: several
 # times its decay, in which an upstream gets more than ten requests at the usual load.
 PERCENT_AGE_MAX_S = 5.0
-# Fewest upstreams whose median says something of the whole service.
-MEDIAN_UPSTREAMS_MIN = 3
-
-
 # Time constant of the decay of observed times, in seconds: an upstream gets few
 # requests whose time tells its speed.
 TIME_DECAY_S = 5.0
@@ -44,16 +38,12 @@
 TIME_WEIGHT = 0.25
 # Least expected time by which an observed one is divided, in milliseconds.
 MS_MIN = 1e-3
+# Weight below which what others tell is left out; it would change less than one
+# hundredth of its deviation.
+TOLD_WEIGHT_MIN = 0.01
 NEVER = -math.inf
 
 
-class Figure(NamedTuple):
-    """Logarithm of a factor, and when it was recorded."""
-
-    log: float
-    recorded_at: float
-
-
 class Slowdown(NamedTuple):
     """Factor by which work takes longer, and the age of its latest sample.
 
@@ -67,69 +57,13 @@
 USUAL = Slowdown()
 
 
-class SpeedSignal:
-    """Figures of one kind; they decay to the median of their service.
-
-    Parameters
-    ----------
-    decay_s : float
-        Time constant of the decay.
-    age_max_s : float
-        Age up to which a figure is part of the median.
-    weight : float
-        Weight of a sample against the figure so far, 0 to 1.
-    """
-
-    def __init__(self, decay_s: float, age_max_s: float, weight: float) -> None:
-        self.decay_s = decay_s
-        self._age_max_s = age_max_s
-        self._weight = weight
-        self._figures: dict[ServiceId, dict[UpstreamId, Figure]] = {}
-
-    def record(
-        self, upstream: UpstreamId, service: ServiceId, log: float, now: float
-    ) -> None:
-        """Move the figure of an upstream toward a sample, by one step at most."""
-        before = self.get_log(upstream, service, self.find_median(service, now), now)
-        change = self._weight * (log - before)
-        after = clip(before + clip(change, -LOG_STEP, LOG_STEP), LOG_MIN, LOG_MAX)
-        self._figures.setdefault(service, {})[upstream] = Figure(after, now)
-
-    def find_median(self, service: ServiceId, now: float) -> float:
-        """Return the median of a service's recent figures, 0 if there are too few."""
-        oldest = now - self._age_max_s
-        figures = self._figures.get(service, {}).values()
-        return find_median([f.log for f in figures if f.recorded_at >= oldest])
-
-    def get_log(
-        self, upstream: UpstreamId, service: ServiceId, middle: float, now: float
-    ) -> float:
-        """Return the figure of an upstream, decayed to that of the service."""
-        figure = self.get_figures(service).get(upstream)
-        if figure is None:
-            return middle
-        kept = math.exp(-max(0.0, now - figure.recorded_at) / self.decay_s)
-        return middle + kept * (figure.log - middle)
-
-    def get_figures(self, service: ServiceId) -> Mapping[UpstreamId, Figure]:
-        """Return the latest figures of a service's upstreams, however old."""
-        return self._figures.get(service, {})
-
-    def retain(self, kept: set[UpstreamId]) -> None:
-        """Forget all upstreams that are not in ``kept``."""
-        for service, figures in list(self._figures.items()):
-            for upstream in figures.keys() - kept:
-                del figures[upstream]
-            if not figures:
-                del self._figures[service]
-
-
 class SpeedTable:
     """What is known of the speed of upstreams; not thread-safe."""
 
     def __init__(self) -> None:
         self._percents = SpeedSignal(PERCENT_DECAY_S, PERCENT_AGE_MAX_S, 1.0)
         self._times = SpeedSignal(TIME_DECAY_S, TIME_AGE_MAX_S, TIME_WEIGHT)
+        self._told = ToldSpeeds()
 
     def record_percent(
         self, upstream: UpstreamId, service: ServiceId, percent: int, now: float
@@ -152,59 +86,115 @@
         -----
         The percent figure explains a part of the time; the rest is stored.
         """
-        middle = self._percents.find_median(service, now)
-        explained = self._percents.get_log(upstream, service, middle, now)
+        explained = self._percents.get_log(upstream, service, now)
         log = compute_log(observed_ms / max(expected_ms, MS_MIN)) - explained
         self._times.record(upstream, service, log, now)
 
+    def merge(
+        self, source: InstanceId, service: ServiceId, update: SpeedUpdate, now: float
+    ) -> None:
+        """Store the slowdown that another instance tells of a service's upstream."""
+        self._told.merge(source, service, update, now)
+
+    def list_updates(self, now: float) -> list[SpeedUpdate]:
+        """Return the slowdowns that this instance has seen, the latest first.
+
+        Notes
+        -----
+        What others told is not told again, so that it counts once.
+        """
+        updates = [
+            update
+            for service in {
+                *self._percents.list_services(),
+                *self._times.list_services(),
+            }
+            for update in self._list_service_updates(service, now)
+        ]
+        return sorted(updates, key=lambda update: (update.age_s, update.upstream))
+
+    def _list_service_updates(
+        self, service: ServiceId, now: float
+    ) -> Iterator[SpeedUpdate]:
+        percents = self._percents.get_figures(service)
+        times = self._times.get_figures(service)
+        percent_middle, time_middle = self._find_middles(service, now)
+        for upstream in percents.keys() | times.keys():
+            percent, time = percents.get(upstream), times.get(upstream)
+            latest = max(f.recorded_at for f in (percent, time) if f is not None)
+            if now - latest > TOLD_AGE_MAX_S:
+                continue
+            has_percent = percent and now - percent.recorded_at <= TOLD_AGE_MAX_S
+            has_time = time and now - time.recorded_at <= TIME_AGE_MAX_S
+            log = percent.log if percent and has_percent else percent_middle
+            log += time.log if time and has_time else time_middle
+            factor = math.exp(clip(log, LOG_MIN, LOG_MAX))
+            yield SpeedUpdate(upstream, factor, max(0.0, now - latest))
+
+    def _find_middles(self, service: ServiceId, now: float) -> tuple[float, float]:
+        """Return the percent and the time figure of a service, as logarithms.
+
+        Notes
+        -----
+        What others tell contains both. The percent figure changes fast, so it is taken
+        out of what was told in the same seconds only.
+        """
+        percent = self._percents.find_median(service, now)
+        time = self._times.find_median(service, now)
+        if time is None:
+            age_max_s = TIME_AGE_MAX_S if percent is None else PERCENT_AGE_MAX_S
+            told = self._told.find_median(service, now, age_max_s)
+            time = 0.0 if told is None else told - (percent or 0.0)
+        return percent or 0.0, time
+
     def estimate(
         self, upstreams: Sequence[UpstreamId], service: ServiceId, now: float
     ) -> dict[UpstreamId, Slowdown]:
         """Return the slowdown of upstreams of a service."""
         percents = self._percents.get_figures(service)
         times = self._times.get_figures(service)
-        if not percents and not times:
+        told = self._told.get_joined(service)
+        if not percents and not times and not told:
             return dict.fromkeys(upstreams, USUAL)
-        percent_middle = self._percents.find_median(service, now)
-        time_middle = self._times.find_median(service, now)
+        percent_middle, time_middle = self._find_middles(service, now)
         percent_rate, time_rate = -1 / self._percents.decay_s, -1 / self._times.decay_s
+        told_rate = percent_rate if percents else time_rate
         middle, slowdowns, exp = percent_middle + time_middle, {}, math.exp
         # Runs for each request over all upstreams, so it makes few calls.
         for upstream in upstreams:
-            log, latest = middle, NEVER
+            log, latest, weight = middle, NEVER, 0.0
             if percent := percents.get(upstream):
                 figure, latest = percent
-                log += (figure - percent_middle) * exp(percent_rate * (now - latest))
+                weight = exp(percent_rate * (now - latest))
+                log += (figure - percent_middle) * weight
             if time := times.get(upstream):
                 figure, at = time
-                log += (figure - time_middle) * exp(time_rate * (now - at))
+                kept = exp(time_rate * (now - at))
+                log += (figure - time_middle) * kept
                 latest = at if at > latest else latest
+                weight = kept if kept > weight else weight
+            if joined := told.get(upstream):
+                at = joined.recorded_at
+                kept = exp(told_rate * (now - at))
+                if kept > TOLD_WEIGHT_MIN:
+                    # Mean of what both say, each decayed, by their weights.
+                    deviation = kept * (joined.get_log(log) - middle)
+                    own = weight * (log - middle)
+                    log = middle + (own + kept * deviation) / (weight + kept)
+                    latest = at if at > latest else latest
             factor = exp(
                 LOG_MIN if log < LOG_MIN else LOG_MAX if log > LOG_MAX else log
             )
-            age_s = None if latest == NEVER else now - latest
-            slowdowns[upstream] = Slowdown(factor, age_s)
+            slowdowns[upstream] = Slowdown(
+                factor, None if latest == NEVER else now - latest
+            )
         return slowdowns
 
     def retain(self, kept: set[UpstreamId]) -> None:
         """Forget all upstreams that are not in ``kept``."""
         self._percents.retain(kept)
         self._times.retain(kept)
-
-
-def find_median(logs: list[float]) -> float:
-    """Return the median of a service's figures, 0 if there are too few."""
-    return median(logs) if len(logs) >= MEDIAN_UPSTREAMS_MIN else 0.0
-
-
-def compute_log(factor: float) -> float:
-    """Return the logarithm of a factor, within the range of slowdowns."""
-    return math.log(clip(factor, SLOWDOWN_MIN, SLOWDOWN_MAX))
-
-
-def clip(value: float, low: float, high: float) -> float:
-    """Return the value within ``low`` to ``high`` that is nearest to a value."""
-    return min(high, max(low, value))
+        self._told.retain(kept)
 
 
 __all__ = ["Slowdown", "SpeedTable"]
--- /dev/null
+++ b/src/fescueflow/routing/told_speeds.py
@@ -0,0 +1,153 @@
+"""Slowdowns that other instances tell, joined so that no single one decides.
+
+Load pattern: each instance sends an upstream a request in many seconds, while all
+together send it several a second.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import median
+
+from fescueflow.core import InstanceId, UpstreamId
+from fescueflow.routing.model import ServiceId
+from fescueflow.routing.speed_signals import (
+    LOG_STEP,
+    Figure,
+    clip,
+    compute_log,
+    find_service_median,
+)
+
+# Age up to which a slowdown is told to others and used by them, in seconds: reports
+# reach every instance of a large fleet within two rounds of rotation.
+TOLD_AGE_MAX_S = 3.0
+# Sources that are joined for one upstream, the latest ones. Two lying ones of seven do
+# not decide, and more would cost time without changing the median much.
+SOURCES_MAX = 7
+
+
+@dataclass(frozen=True, slots=True)
+class SpeedUpdate:
+    """The slowdown of an upstream that an instance tells others, with its age."""
+
+    upstream: UpstreamId
+    slowdown: float
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class JoinedFigure:
+    """What several sources tell of an upstream, as logarithms.
+
+    ``low`` and ``high`` are one step from the median that remains without the source
+    that matters most, so that it moves the result by one step at most.
+    """
+
+    middle: float
+    low: float
+    high: float
+    recorded_at: float
+    source_count: int
+
+    def get_log(self, base: float) -> float:
+        """Return the joined logarithm, given what is known without the sources.
+
+        Notes
+        -----
+        Each source moves the result by one step from ``base`` at most. Of two sources
+        that contradict each other, either may be wrong, so the nearest value to
+        ``base`` between them counts. Of three, the median is not that of one wrong one.
+        """
+        log = self.middle
+        if self.low <= self.high:
+            log = clip(log, self.low, self.high)
+        elif self.source_count == 2:
+            log = clip(base, self.high, self.low)
+        reach = self.source_count * LOG_STEP
+        return clip(log, base - reach, base + reach)
+
+
+class ToldSpeeds:
+    """Slowdowns by upstream and source; not thread-safe."""
+
+    def __init__(self) -> None:
+        self._sources: dict[UpstreamId, dict[InstanceId, Figure]] = {}
+        self._joined: dict[ServiceId, dict[UpstreamId, JoinedFigure]] = {}
+
+    def merge(
+        self,
+        source: InstanceId,
+        service: ServiceId,
+        update: SpeedUpdate,
+        now: float,
+    ) -> None:
+        """Store what an instance tells of an upstream of a service."""
+        if update.age_s > TOLD_AGE_MAX_S:
+            return
+        figure = Figure(compute_log(update.slowdown), now - update.age_s)
+        figures = self._sources.setdefault(update.upstream, {})
+        known = figures.get(source)
+        if known is None or known.recorded_at < figure.recorded_at:
+            figures[source] = figure
+        recent = sorted(
+            (
+                (source, figure)
+                for source, figure in figures.items()
+                if now - figure.recorded_at <= TOLD_AGE_MAX_S
+            ),
+            key=lambda item: -item[1].recorded_at,
+        )[:SOURCES_MAX]
+        self._sources[update.upstream] = dict(recent)
+        self._joined.setdefault(service, {})[update.upstream] = join_figures(
+            [figure for _, figure in recent]
+        )
+
+    def get_joined(self, service: ServiceId) -> dict[UpstreamId, JoinedFigure]:
+        """Return what the sources tell of a service's upstreams, however old."""
+        return self._joined.get(service, {})
+
+    def find_median(
+        self, service: ServiceId, now: float, age_max_s: float
+    ) -> float | None:
+        """Return the median of a service's upstreams, if there are enough.
+
+        Notes
+        -----
+        Upstreams with one source are left out, as it may be wrong about all of them.
+        """
+        oldest = now - age_max_s
+        return find_service_median(
+            [
+                joined.get_log(0.0)
+                for joined in self.get_joined(service).values()
+                if joined.source_count > 1 and joined.recorded_at >= oldest
+            ]
+        )
+
+    def retain(self, kept: set[UpstreamId]) -> None:
+        """Forget all upstreams that are not in ``kept``."""
+        for upstream in self._sources.keys() - kept:
+            del self._sources[upstream]
+        for service, joined in list(self._joined.items()):
+            for upstream in joined.keys() - kept:
+                del joined[upstream]
+            if not joined:
+                del self._joined[service]
+
+
+def join_figures(figures: Iterable[Figure]) -> JoinedFigure:
+    """Return the median of what at least one source tells, and its bounds."""
+    logs, times = zip(*figures, strict=True)
+    middle, count = median(logs), len(logs)
+    low, high = -math.inf, math.inf
+    if count > 1:
+        ordered = sorted(logs)
+        rest = [median(ordered[:n] + ordered[n + 1 :]) for n in range(count)]
+        low, high = max(rest) - LOG_STEP, min(rest) + LOG_STEP
+    # One source that tells its own age falsely does not decide the age, either.
+    recorded_at = sorted(times)[(count - 1) // 2]
+    return JoinedFigure(middle, low, high, recorded_at, count)
+
+
+__all__ = ["TOLD_AGE_MAX_S", "JoinedFigure", "SpeedUpdate", "ToldSpeeds"]
--- a/tests/gateway/test_odd_reports.py
+++ b/tests/gateway/test_odd_reports.py
@@ -16,6 +16,7 @@
     LimitId,
     LimitUpdate,
     Prompt,
+    SpeedUpdate,
     Verdict,
     parse_prompt,
 )
@@ -64,6 +65,7 @@
                 LimitUpdate(LimitId("u1", 1), 2.5, 0.5),
                 LimitUpdate(LimitId("u0", 1), None, 0.5),
             ],
+            speeds=[SpeedUpdate("u1", 1.5, 0.2), SpeedUpdate("u2", 0.5, 0.2)],
         )
         document = json.loads(decompress_report(encode_report(report, 0.0)))
         for path in find_fields(document):
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -1,14 +1,20 @@
 """Tests of what instances learn of upstreams' speed from responses; no network."""
 
+import json
 import unittest
 from types import SimpleNamespace
 
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.exchange import ExchangeFailed
+from fescueflow.gateway.report_codec import (
+    compress_report,
+    decode_report,
+    decompress_report,
+)
 from fescueflow.platform import parse_upstream_load, parse_upstream_percent
 from fescueflow.routing import AttemptFailure, Prompt
 from tests.fakes import FakeClock
-from tests.gateway.fleet import Instance
+from tests.gateway.fleet import FleetSimulation, Instance, Load
 from tests.routing.builders import ENGINES, make_upstream
 
 SEAL = {"X-Server-Seal": "s"}
@@ -165,5 +171,109 @@
             self.assertEqual(metrics.get_count(name, why=why), 1)
 
 
+class ReportTest(SpeedCase):
+    """Guards against instances that each learn alone, or from bad reports."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstreams = [make_upstream(f"i-{n:08x}", slots=16) for n in range(70)]
+        self.instance = self.make_instance(0)
+
+    def tell(self, instance, upstreams, percent=150):
+        now = self.clock.monotonic()
+        for n, upstream in enumerate(upstreams):
+            instance.selector.speeds.record_sample(
+                upstream.id, ENGINES, percent + n, None, None, now
+            )
+
+    def read_speeds(self, data):
+        return json.loads(decompress_report(data)).get("speeds")
+
+    def test_instance_with_few_requests_knows_from_others(self):
+        slow = self.upstreams[:1]
+        for number in (1, 2, 3):
+            other = self.make_instance(number)
+            self.tell(other, slow, percent=190)
+            self.instance.reporter.handle_report(other.report(False)[1])
+        self.assertAlmostEqual(self.get_slowdown(slow[0].id), 1.9, delta=0.05)
+        # All later reports are lost.
+        self.clock.advance(30.0)
+        self.assertAlmostEqual(self.get_slowdown(slow[0].id), 1.0, delta=0.01)
+
+    def test_by_turns_and_within_the_size(self):
+        self.tell(self.instance, self.upstreams[:16])
+        reports = [self.instance.report(False)[1] for _ in range(2)]
+        told = [self.read_speeds(data) for data in reports]
+        self.assertEqual([len(entries) for entries in told], [8, 8])
+        self.assertEqual(len({entry[0] for entries in told for entry in entries}), 16)
+        for data in reports:
+            document = json.loads(decompress_report(data))
+            del document["speeds"]
+            bare = compress_report(json.dumps(document, separators=(",", ":")).encode())
+            self.assertLessEqual(len(data) - len(bare), 200)
+
+    def test_report_without_slowdowns(self):
+        _, data = self.make_instance(1).report(False)
+        self.assertIsNone(self.read_speeds(data))
+        self.instance.reporter.handle_report(data)
+        self.assertEqual(self.get_slowdown(self.upstreams[0].id), 1.0)
+
+    def test_old_samples_are_not_reported(self):
+        self.tell(self.instance, self.upstreams[:2])
+        self.clock.advance(3.1)
+        self.assertIsNone(self.read_speeds(self.instance.report(False)[1]))
+
+    def test_upstream_that_is_not_listed(self):
+        other = self.make_instance(1)
+        self.tell(other, [make_upstream("gone")])
+        self.instance.reporter.handle_report(other.report(False)[1])
+        self.assertEqual(self.get_slowdown(make_upstream("gone").id), 1.0)
+
+    def test_malformed_slowdown(self):
+        _, data = self.make_instance(1).report(False)
+        document = json.loads(decompress_report(data))
+        for odd in (0, -1, "x", None, 1e999):
+            document["speeds"] = [[self.upstreams[0].id, odd, 0.1]]
+            with self.assertRaises(ValueError):
+                decode_report(compress_report(json.dumps(document).encode()), 0.0)
+
+
+class SlowFleet(FleetSimulation):
+    """Fleet in which upstreams tell a percent figure; ``slow`` are at 300."""
+
+    slow = frozenset()
+
+    def _finish_reading(self, instance, selection):
+        super()._finish_reading(instance, selection)
+        upstream, now = selection.upstream.id, self.clock.monotonic()
+        percent = 300 if upstream in self.slow else 100
+        instance.selector.speeds.record_sample(
+            upstream, ENGINES, percent, None, None, now
+        )
+
+    def measure_share(self, upstream, since):
+        """Return an upstream's requests as a multiple of the mean."""
+        names = [a.upstream for a in self.arrivals if a.at >= since]
+        return names.count(upstream) * len(self.running) / len(names)
+
+
+class ReplayTest(unittest.TestCase):
+    """Guards against slow engines that get as many requests as the others."""
+
+    def test_engine_that_becomes_slow_and_recovers(self):
+        load = Load(
+            instances=16, upstreams=8, per_s=160.0, duration_s=0.4, shared_tokens=0
+        )
+        fleet, u0 = SlowFleet(load, seed=1), make_upstream("u0").id
+        fleet.run(3.0)
+        self.assertGreater(fleet.measure_share(u0, 1.0), 0.6)
+        fleet.slow = {u0}
+        fleet.run(6.0)
+        self.assertLess(fleet.measure_share(u0, 4.0), 0.6)
+        fleet.slow = frozenset()
+        fleet.run(10.0)
+        self.assertGreater(fleet.measure_share(u0, 8.0), 0.6)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_speeds.py
+++ b/tests/routing/test_speeds.py
@@ -22,7 +22,7 @@
     rank_placements,
     select_in_time,
 )
-from fescueflow.routing.speeds import LOG_STEP
+from fescueflow.routing.speed_signals import LOG_STEP
 from tests.routing.builders import ENGINES, make_candidate, make_prompt, make_upstream
 
 OTHERS = ServiceId("other-engines")
