--- a/src/fescueflow/routing/speeds.py
+++ b/src/fescueflow/routing/speeds.py
@@ -18,7 +18,12 @@
     clip,
     compute_log,
 )
-from fescueflow.routing.told_speeds import TOLD_AGE_MAX_S, SpeedUpdate, ToldSpeeds
+from fescueflow.routing.told_speeds import (
+    SOURCES_SURE,
+    TOLD_AGE_MAX_S,
+    SpeedUpdate,
+    ToldSpeeds,
+)
 
 # Value that stands for the usual duration of work in an upstream's own figure.
 USUAL_PERCENT = 100
@@ -178,7 +183,10 @@
                 kept = exp(told_rate * (now - at))
                 if kept > TOLD_WEIGHT_MIN:
                     # Mean of what both say, each decayed, by their weights.
-                    deviation = kept * (joined.get_log(log) - middle)
+                    others = joined.middle
+                    if joined.source_count < SOURCES_SURE:
+                        others = joined.get_log(log)
+                    deviation = kept * (others - middle)
                     own = weight * (log - middle)
                     log = middle + (own + kept * deviation) / (weight + kept)
                     latest = at if at > latest else latest
--- a/src/fescueflow/routing/told_speeds.py
+++ b/src/fescueflow/routing/told_speeds.py
@@ -7,7 +7,6 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
-from statistics import median
 
 from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.routing.model import ServiceId
@@ -22,6 +21,9 @@
 # Age up to which a slowdown is told to others and used by them, in seconds: reports
 # reach every instance of a large fleet within two rounds of rotation.
 TOLD_AGE_MAX_S = 3.0
+# Sources from which on no limit by their number applies: as many steps as the whole
+# range of slowdowns.
+SOURCES_SURE = 5
 # Sources that are joined for one upstream, the latest ones. Two lying ones of seven do
 # not decide, and more would cost time without changing the median much.
 SOURCES_MAX = 7
@@ -40,8 +42,9 @@
 class JoinedFigure:
     """What several sources tell of an upstream, as logarithms.
 
-    ``low`` and ``high`` are one step from the median that remains without the source
-    that matters most, so that it moves the result by one step at most.
+    ``low`` and ``high`` are one step from the medians that remain without one source,
+    and ``middle`` is the median of all within them, so that a source moves it by one
+    step at most. If the sources contradict each other, ``low`` is above ``high``.
     """
 
     middle: float
@@ -60,9 +63,7 @@
         ``base`` between them counts. Of three, the median is not that of one wrong one.
         """
         log = self.middle
-        if self.low <= self.high:
-            log = clip(log, self.low, self.high)
-        elif self.source_count == 2:
+        if self.source_count == 2 and self.low > self.high:
             log = clip(base, self.high, self.low)
         reach = self.source_count * LOG_STEP
         return clip(log, base - reach, base + reach)
@@ -139,15 +140,30 @@
 def join_figures(figures: Iterable[Figure]) -> JoinedFigure:
     """Return the median of what at least one source tells, and its bounds."""
     logs, times = zip(*figures, strict=True)
-    middle, count = median(logs), len(logs)
+    ordered, count = sorted(logs), len(logs)
+    half = count // 2
     low, high = -math.inf, math.inf
+    if count % 2 == 0:
+        least, most = ordered[half - 1], ordered[half]
+        middle = (least + most) / 2
+    else:
+        middle = ordered[half]
+        least = (ordered[half - 1] + middle) / 2
+        most = (middle + ordered[min(half + 1, count - 1)]) / 2
     if count > 1:
-        ordered = sorted(logs)
-        rest = [median(ordered[:n] + ordered[n + 1 :]) for n in range(count)]
-        low, high = max(rest) - LOG_STEP, min(rest) + LOG_STEP
+        # The medians without one source are between these two.
+        low, high = most - LOG_STEP, least + LOG_STEP
+    if low <= high:
+        middle = clip(middle, low, high)
     # One source that tells its own age falsely does not decide the age, either.
     recorded_at = sorted(times)[(count - 1) // 2]
     return JoinedFigure(middle, low, high, recorded_at, count)
 
 
-__all__ = ["TOLD_AGE_MAX_S", "JoinedFigure", "SpeedUpdate", "ToldSpeeds"]
+__all__ = [
+    "SOURCES_SURE",
+    "TOLD_AGE_MAX_S",
+    "JoinedFigure",
+    "SpeedUpdate",
+    "ToldSpeeds",
+]
