Keep the median of told slowdowns for a report interval

The median over all upstreams was computed for each request of an instance with few observed times of its own.

--- a/src/fescueflow/routing/speeds.py
+++ b/src/fescueflow/routing/speeds.py
@@ -179,12 +179,11 @@
                 latest = at if at > latest else latest
                 weight = kept if kept > weight else weight
             if joined := told.get(upstream):
-                at = joined.recorded_at
+                others, _, _, at, source_count = joined
                 kept = exp(told_rate * (now - at))
                 if kept > TOLD_WEIGHT_MIN:
                     # Mean of what both say, each decayed, by their weights.
-                    others = joined.middle
-                    if joined.source_count < SOURCES_SURE:
+                    if source_count < SOURCES_SURE:
                         others = joined.get_log(log)
                     deviation = kept * (others - middle)
                     own = weight * (log - middle)
--- a/src/fescueflow/routing/told_speeds.py
+++ b/src/fescueflow/routing/told_speeds.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.routing.model import ServiceId
@@ -24,6 +25,9 @@
 # Sources from which on no limit by their number applies: as many steps as the whole
 # range of slowdowns.
 SOURCES_SURE = 5
+# Time for which a service's median of told slowdowns is kept, in seconds: one interval
+# of reports.
+MEDIAN_PERIOD_S = 0.35
 # Sources that are joined for one upstream, the latest ones. Two lying ones of seven do
 # not decide, and more would cost time without changing the median much.
 SOURCES_MAX = 7
@@ -38,8 +42,7 @@
     age_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class JoinedFigure:
+class JoinedFigure(NamedTuple):
     """What several sources tell of an upstream, as logarithms.
 
     ``low`` and ``high`` are one step from the medians that remain without one source,
@@ -75,6 +78,8 @@
     def __init__(self) -> None:
         self._sources: dict[UpstreamId, dict[InstanceId, Figure]] = {}
         self._joined: dict[ServiceId, dict[UpstreamId, JoinedFigure]] = {}
+        # Latest medians, by service and greatest age, and when they were computed.
+        self._medians: dict[tuple[ServiceId, float], tuple[float, float | None]] = {}
 
     def merge(
         self,
@@ -116,15 +121,21 @@
         Notes
         -----
         Upstreams with one source are left out, as it may be wrong about all of them.
+        The median is computed again after ``MEDIAN_PERIOD_S``.
         """
+        computed_at, known = self._medians.get((service, age_max_s), (-math.inf, None))
+        if now - computed_at < MEDIAN_PERIOD_S:
+            return known
         oldest = now - age_max_s
-        return find_service_median(
+        found = find_service_median(
             [
                 joined.get_log(0.0)
                 for joined in self.get_joined(service).values()
                 if joined.source_count > 1 and joined.recorded_at >= oldest
             ]
         )
+        self._medians[service, age_max_s] = now, found
+        return found
 
     def retain(self, kept: set[UpstreamId]) -> None:
         """Forget all upstreams that are not in ``kept``."""
@@ -135,6 +146,7 @@
                 del joined[upstream]
             if not joined:
                 del self._joined[service]
+        self._medians.clear()
 
 
 def join_figures(figures: Iterable[Figure]) -> JoinedFigure:
--- a/tests/routing/test_told_speeds.py
+++ b/tests/routing/test_told_speeds.py
@@ -52,6 +52,16 @@
         found = estimate(told, upstreams=(U1, U2, U3), now=40.0)
         self.assertAlmostEqual(found[U4].factor, 1.65, delta=0.01)
 
+    def test_median_of_the_service_is_renewed(self):
+        table = SpeedTable()
+        for now, factor in ((10.0, 2.0), (10.1, 3.0), (10.5, 3.0)):
+            for upstream in (U1, U2, U3):
+                for source in name_sources([factor] * 2):
+                    update = SpeedUpdate(upstream, factor, 0.0)
+                    table.merge(source, ENGINES, update, now)
+            found = table.estimate([U4], ENGINES, now)[U4].factor
+        self.assertAlmostEqual(found, 3.0)
+
     def test_one_source_says_nothing_of_the_service(self):
         found = estimate({LIAR: 8.0}, upstreams=(U1, U2, U3))
         self.assertEqual(found[U4].factor, 1.0)
