--- a/src/fescueflow/gateway/report_codec.py
+++ b/src/fescueflow/gateway/report_codec.py
@@ -21,8 +21,9 @@
     encode_quarantine,
 )
 from fescueflow.gateway.records import PeerRecord
+from fescueflow.gateway.speed_codec import decode_speeds, encode_speeds
 from fescueflow.gateway.zone_loads import ZoneLoads
-from fescueflow.routing import HolderUpdate, LimitUpdate, ServiceId
+from fescueflow.routing import HolderUpdate, LimitUpdate, ServiceId, SpeedUpdate
 
 # Uncompressed size of a report; several times the largest one.
 REPORT_BYTES_MAX = 1 << 20
@@ -44,6 +45,7 @@
     quarantine: QuarantineReport = QuarantineReport()
     limits: list[LimitUpdate] = field(default_factory=list)
     zone_loads: list[ZoneLoads] = field(default_factory=list)
+    speeds: list[SpeedUpdate] = field(default_factory=list)
 
 
 def encode_report(report: PeerReport, now: float) -> bytes:
@@ -75,6 +77,7 @@
         **encode_quarantine(report.quarantine),
         **encode_limits(report.limits),
         **encode_zone_loads(report.zone_loads),
+        **encode_speeds(report.speeds),
     }
     return compress_report(json.dumps(document, separators=(",", ":")).encode())
 
@@ -157,6 +160,7 @@
             ZoneLoads(ZoneId(decode_name(z)), decode_number(age_s), decode_loads(entry))
             for z, age_s, entry in document.get("zones", [])
         ]
+        speeds = decode_speeds(document)
     except (
         ArithmeticError,
         AttributeError,
@@ -168,7 +172,7 @@
     if not records:
         raise ValueError("the report names no instance")
     return PeerReport(
-        records, loads, holder_updates, counts, quarantine, limits, zone_loads
+        records, loads, holder_updates, counts, quarantine, limits, zone_loads, speeds
     )
 
 
--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -107,6 +107,7 @@
             quarantine=self._quarantine.make_report(is_full),
             limits=self._selector.limits.take_updates(),
             zone_loads=self._loads.add_up_zones(now) if self._tells_zones(now) else [],
+            speeds=self._selector.speeds.take_updates(now),
         )
         return encode_report(report, now)
 
@@ -175,6 +176,7 @@
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
         self._selector.merge_limits(report.limits)
+        self._selector.speeds.merge(sender.instance, report.speeds, now)
         crashed = self._quarantine.merge(report.quarantine, sender.instance)
         self._selector.mark_crashed(crashed)
 
--- a/src/fescueflow/gateway/selected.py
+++ b/src/fescueflow/gateway/selected.py
@@ -15,7 +15,8 @@
     the prompt, ``bound`` the load bound of the service, and ``report_age_s`` the mean
     age of the loads that other instances had reported. ``is_isolated`` is whether the
     request was sent apart because upstreams may crash under it, and ``share`` that in
-    the limit that the upstream names.
+    the limit that the upstream names. ``is_retry`` is whether the request was sent to
+    another upstream before.
     """
 
     placement: Placement
@@ -25,6 +26,7 @@
     report_age_s: float | None = None
     is_isolated: bool = False
     share: LimitShare | None = None
+    is_retry: bool = False
 
     @property
     def upstream(self) -> Upstream:
@@ -51,6 +53,12 @@
             **describe_share(self.share),
             "waiting_tokens": round(load.waiting_tokens),
             "failure_rate": round(load.failure_rate, 2),
+            "slowdown": round(load.slowdown, 2),
+            "slowdown_age_ms": (
+                None
+                if load.slowdown_age_s is None
+                else round(load.slowdown_age_s * 1000)
+            ),
             "cached": self.placement.is_cached,
             "copied_from": str(self.source.id) if self.source else None,
         }
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -50,17 +50,16 @@
     BalanceBound,
     Candidate,
     Placement,
-    Prompt,
     UpstreamLoad,
     estimate_cost_ms,
     find_balanced,
     find_holder,
     is_copy_worthwhile,
     measure_balance,
-    parse_prompt,
     rank_placements,
 )
 from fescueflow.routing.progress import RELAY_DELAY_MAX_S, PartKey, ProgressTable
+from fescueflow.routing.prompts import Prompt, parse_prompt
 from fescueflow.routing.quarantine import (
     SETTLED_AGE_S,
     Culprit,
@@ -93,7 +92,15 @@
     compute_first_byte_wait,
     compute_patience,
 )
+from fescueflow.routing.speed_samples import (
+    FirstEvent,
+    LeftOut,
+    estimate_first_event_ms,
+    find_reason_to_leave_out,
+)
+from fescueflow.routing.speeds import Slowdown, SpeedTable
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
+from fescueflow.routing.told_speeds import SpeedUpdate
 
 __all__ = [
     "PREFILL_TOKENS_PER_MS",
@@ -118,8 +125,10 @@
     "Culprit",
     "Customer",
     "EngineTraits",
+    "FirstEvent",
     "HolderTable",
     "HolderUpdate",
+    "LeftOut",
     "Limit",
     "LimitId",
     "LimitShare",
@@ -147,6 +156,9 @@
     "Service",
     "ServiceId",
     "SilenceWatch",
+    "Slowdown",
+    "SpeedTable",
+    "SpeedUpdate",
     "TokenBuckets",
     "TokenSupply",
     "UnknownKey",
@@ -166,11 +178,13 @@
     "count_independent",
     "decide_admission",
     "estimate_cost_ms",
+    "estimate_first_event_ms",
     "find_balanced",
     "find_culprits",
     "find_customer",
     "find_holder",
     "has_quarantine",
+    "find_reason_to_leave_out",
     "find_route",
     "is_copy_worthwhile",
     "make_crash_id",
