Ask a coordinator for permits before requests to small services

Cause: over a hundred instances send to upstreams with few slots, and none knows what the others send at the same moment; upstreams refuse while others have free slots, and late requests run before those in time. Change: the instances choose one coordinator for each service without engines whose slots are fewer than the carrying instances, and ask it for a permit in a datagram before they select an upstream.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -34,7 +34,14 @@
     parse_pause,
     parse_upstream_load,
 )
-from fescueflow.routing import SURVIVAL_S, AttemptFailure, PartId, Prompt, Upstream
+from fescueflow.routing import (
+    SURVIVAL_S,
+    AttemptFailure,
+    PartId,
+    PermitEnd,
+    Prompt,
+    Upstream,
+)
 
 # Largest error of an estimated load that counts as accurate: the imbalance bound allows
 # three requests above the multiple of the mean.
@@ -183,12 +190,13 @@
 
     def finish(self) -> None:
         """End after a complete response; the connection is reused if possible."""
-        if self._end():
+        if self._end(PermitEnd.ANSWERED):
             self._client.record_response(self, self._connection)
 
     def fail(self, failure: ExchangeFailed) -> None:
         """End after a failure; closes the connection."""
-        if self._end():
+        is_full = failure.kind is AttemptFailure.REFUSED
+        if self._end(PermitEnd.FULL if is_full else PermitEnd.FAILED):
             self._connection.close()
             self._client.record_failure(self, failure)
             if failure.kind.may_have_run:
@@ -196,14 +204,14 @@
 
     def cancel(self) -> None:
         """End after a disconnect or a passed deadline; closes the connection."""
-        if self._end():
+        if self._end(PermitEnd.FAILED):
             self._connection.close()
             self._client.record_abandoned(self)
 
-    def _end(self) -> bool:
+    def _end(self, end: PermitEnd) -> bool:
         ended, self._ended = self._ended, True
         if not ended:
-            self.selection.active_request.end()
+            self.selection.end(end)
         return not ended
 
 
@@ -262,7 +270,7 @@
                 connection = self._pool.open(upstream.address, remaining_s)
                 self._metrics.count("upstream_connections")
         except OSError as error:
-            selection.active_request.end()
+            selection.end(PermitEnd.UNUSED)
             is_down = isinstance(error, ConnectionRefusedError)
             self._record_unhealthy(upstream.id, is_down)
             if is_down:
--- /dev/null
+++ b/src/fescueflow/gateway/coordinators.py
@@ -0,0 +1,112 @@
+"""Which instance this one asks for permits."""
+
+import math
+import threading
+from collections.abc import Callable
+
+from fescueflow.core import InstanceId
+from fescueflow.gateway.active_set import ACTIVE_MIN, order_instances
+from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.records import PeerRecord
+from fescueflow.routing import (
+    CoordinatorCandidate,
+    Service,
+    ServiceId,
+    Upstream,
+    choose_coordinator,
+    is_coordinated,
+)
+
+# Time after an unanswered request in which no permit is asked for, in seconds
+# (docs/design/two-deployments.md, part 3).
+UNANSWERED_PAUSE_S = 1.0
+# Time for which the coordinator of a service is used again, in seconds; instances hear
+# of a change much later.
+COORDINATOR_CACHE_S = 0.2
+
+
+class Coordinators:
+    """Finds the coordinators of services; thread-safe.
+
+    Parameters
+    ----------
+    peers : PeerTable
+    list_upstreams : callable
+        Returns the upstreams of a service that may be handed out now.
+    find_service : callable
+        Returns a service of the configuration in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: PeerTable,
+        list_upstreams: Callable[[ServiceId], list[Upstream]],
+        find_service: Callable[[ServiceId], Service | None],
+    ) -> None:
+        self._peers = peers
+        self._list_upstreams = list_upstreams
+        self._find_service = find_service
+        self._lock = threading.Lock()
+        self._paused_until: dict[InstanceId, float] = {}
+        self._chosen: dict[ServiceId, tuple[float, PeerRecord | None]] = {}
+
+    def find(self, service: ServiceId, now: float) -> PeerRecord | None:
+        """Return the coordinator to ask, ``None`` if no permit is needed."""
+        known = self._chosen.get(service)
+        if known is None or not 0 <= now - known[0] < COORDINATOR_CACHE_S:
+            known = now, self._choose(service, now)
+            self._chosen[service] = known
+        coordinator = known[1]
+        if coordinator is None:
+            return None
+        paused_until = self._paused_until.get(coordinator.instance, -math.inf)
+        return coordinator if paused_until <= now else None
+
+    def _choose(self, service: ServiceId, now: float) -> PeerRecord | None:
+        known = self._find_service(service)
+        if known is None or known.engine is not None:
+            return None
+        carrying = self._peers.list_carrying(now)
+        slots = sum(upstream.slots for upstream in self._list_upstreams(service))
+        if not is_coordinated(known, slots, len(carrying)):
+            return None
+        candidates = list_candidates(carrying, self._peers.list_serving(now))
+        chosen = choose_coordinator(
+            known,
+            [CoordinatorCandidate(r.instance, r.capacity) for r in candidates],
+        )
+        return next((r for r in candidates if r.instance == chosen), None)
+
+    def pause(self, coordinator: InstanceId, now: float) -> None:
+        """Ask a coordinator that did not answer for no permit for some time."""
+        with self._lock:
+            self._paused_until = {
+                name: until for name, until in self._paused_until.items() if until > now
+            }
+            self._paused_until[coordinator] = now + UNANSWERED_PAUSE_S
+
+
+def list_candidates(
+    carrying: list[PeerRecord], serving: list[PeerRecord]
+) -> list[PeerRecord]:
+    """Return the instances that may coordinate: the first active ones of each zone.
+
+    Notes
+    -----
+    These are active whatever the demand is, so that the coordinator does not change
+    with each wave of requests.
+    """
+    names = {record.instance for record in serving}
+    zones: dict[str, list[PeerRecord]] = {}
+    for record in carrying:
+        if record.instance in names:
+            zones.setdefault(record.zone, []).append(record)
+    return [
+        record
+        for records in zones.values()
+        for record in order_instances(records)[:ACTIVE_MIN]
+    ]
+
+
+__all__ = ["Coordinators"]
--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 
 import logbook
@@ -24,7 +25,9 @@
     log_selection,
     log_silence,
 )
+from fescueflow.gateway.request_permits import RequestPermits
 from fescueflow.gateway.requests import RequestContext
+from fescueflow.gateway.selected import Selection
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.metrics import Metrics
 from fescueflow.platform import make_upstream_headers
@@ -32,6 +35,7 @@
     PRIORITY_HIGHEST,
     SUSPICION_S,
     AttemptFailure,
+    PermitEnd,
     RetryDenial,
     RouteKind,
     SilenceWatch,
@@ -60,6 +64,7 @@
     quarantine : PromptQuarantine
     probe : ReachabilityProbe
     metrics : Metrics
+    permits : RequestPermits
     """
 
     def __init__(
@@ -72,7 +77,9 @@
         quarantine: PromptQuarantine,
         probe: ReachabilityProbe,
         metrics: Metrics,
+        permits: RequestPermits,
     ) -> None:
+        self._permits = permits
         self._metrics = metrics
         self._platform_state = platform_state
         self._selector = selector
@@ -252,14 +259,9 @@
             raise DeadlineExceeded("the deadline passed")
         self._client.check_survivors()
         admission = self._quarantine.admit(context.service, context.prompt)
-        selection = self._selector.select(
-            context.service,
-            context.prompt,
-            context.tried,
-            context.deadline - now,
-            admission.isolation_key,
-            priority=context.priority if last_event is None else PRIORITY_HIGHEST,
-        )
+        priority = context.priority if last_event is None else PRIORITY_HIGHEST
+        selection = self._select(context, admission.isolation_key, priority)
+        now = self._clock.monotonic()
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
         context.is_waiting = True
@@ -277,6 +279,41 @@
             partial(self._check_waiting, context, admission),
         )
 
+    def _select(
+        self, context: RequestContext, isolation_key: str | None, priority: int
+    ) -> Selection:
+        """Return the selected upstream, with a permit where the service needs them.
+
+        Raises
+        ------
+        RequestError
+            If the request can't be sent.
+        """
+        permit = None
+        # A request that is sent apart has to go to an upstream of its own.
+        if isolation_key is None:
+            permit = self._permits.acquire(context, priority)
+        try:
+            selection = self._selector.select(
+                context.service,
+                context.prompt,
+                context.tried,
+                context.deadline - self._clock.monotonic(),
+                isolation_key,
+                priority=priority,
+                permitted=permit.upstream if permit is not None else None,
+            )
+        except BaseException:
+            if permit is not None:
+                permit.end(PermitEnd.UNUSED)
+            raise
+        if permit is None:
+            return selection
+        if selection.upstream.id != permit.upstream:
+            permit.end(PermitEnd.UNUSED)
+            return selection
+        return replace(selection, permit=permit)
+
     def _send(
         self, context: RequestContext, attempt: Attempt, last_event: str | None
     ) -> None:
--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from fescueflow.core import UpstreamId, ZoneId
-from fescueflow.routing import RoutingTable, ServiceId, Upstream, UpstreamState
+from fescueflow.routing import RoutingTable, Service, ServiceId, Upstream, UpstreamState
 
 # Time after an outage of the store within which live upstreams restore their entries;
 # upstreams without an entry are removed then.
@@ -50,6 +50,11 @@
         """Return the configuration in force."""
         return self._table
 
+    def find_service(self, service: ServiceId) -> Service | None:
+        """Return a service of the configuration in force, ``None`` if unknown."""
+        table = self._table
+        return table.services.get(service) if table else None
+
     def get_withdrawn_zones(self) -> frozenset[ZoneId]:
         """Return the zones whose upstreams get no requests."""
         return self._withdrawn
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -26,6 +26,7 @@
 )
 from fescueflow.gateway.confirmation import StateConfirmation
 from fescueflow.gateway.connections import ConnectionPool
+from fescueflow.gateway.coordinators import Coordinators
 from fescueflow.gateway.departure import (
     CUTTING_FRACTION,
     REFUSING_FRACTION,
@@ -37,6 +38,8 @@
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.logs import log_to_stdout
 from fescueflow.gateway.peers import PeerTable, PeerTransport
+from fescueflow.gateway.permit_codec import PERMIT_MARK
+from fescueflow.gateway.permits import PermitClient
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.reachability import ReachabilityProbe
@@ -44,6 +47,7 @@
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.relay import StoreRelay, decode_update
 from fescueflow.gateway.reporting import Reporter
+from fescueflow.gateway.request_permits import RequestPermits
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
@@ -135,6 +139,7 @@
             metrics=self._metrics,
             quarantine=self._quarantine,
         )
+        self._permits = self._make_permits()
         self._relay = StoreRelay(
             peers=self._peers,
             send=lambda host, data: self._transport.send(host, data),
@@ -173,6 +178,7 @@
         """Start the servers and background threads."""
         self._watcher.start()
         self._transport.start()
+        self._permits.desk.start()
         self._status_server.start()
         self._caller_server.start()
         threading.Thread(
@@ -209,6 +215,7 @@
         log.info("stopped, all answers finished: {}", idle)
         self._stopped.set()
         self._watcher.stop()
+        self._permits.desk.stop()
         self._transport.stop()
         self._caller_server.stop()
         self._status_server.stop()
@@ -222,7 +229,10 @@
             log.error("unexpected error in the announcement: {!r}", error)
 
     def _handle_update(self, data: bytes) -> None:
-        self._watcher.handle_update(decode_update(data))
+        if data.startswith(PERMIT_MARK):
+            self._permits.handle_datagram(data)
+        else:
+            self._watcher.handle_update(decode_update(data))
 
     def _make_watcher(self, random_source: RandomSource) -> StoreWatcher:
         limits = Limits(
@@ -245,6 +255,22 @@
             relay=self._relay,
         )
 
+    def _make_permits(self) -> PermitClient:
+        list_available = self._selector.list_available
+        return PermitClient(
+            peers=self._peers,
+            coordinators=Coordinators(
+                peers=self._peers,
+                list_upstreams=list_available,
+                find_service=self._platform_state.find_service,
+            ),
+            find_slots=lambda service: {u.id: u.slots for u in list_available(service)},
+            get_mean_duration_s=self._loads.get_mean_duration_s,
+            send=lambda host, data: self._transport.send(host, data),
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+
     def _make_caller_server(self) -> GatewayServer:
         dispatcher = AttemptDispatcher(
             platform_state=self._platform_state,
@@ -254,6 +280,7 @@
             quarantine=self._quarantine,
             probe=ReachabilityProbe(self._pool, self._clock, self._metrics),
             metrics=self._metrics,
+            permits=RequestPermits(self._permits, self._clock),
         )
         forwarder = Forwarder(
             selector=self._selector,
--- a/src/fescueflow/gateway/requests.py
+++ b/src/fescueflow/gateway/requests.py
@@ -8,6 +8,7 @@
 from fescueflow.core import CustomerId, UpstreamId
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.buffers import AnswerBuffer
+from fescueflow.gateway.permits import Permit
 from fescueflow.gateway.streams import StreamBody
 from fescueflow.platform import CallHeaders, Headers
 from fescueflow.routing import (
@@ -94,6 +95,8 @@
     attempt: Attempt | None = None
     # When its silence needs a decision; set with the first attempt.
     watch: SilenceWatch = field(init=False)
+    # Permit of the attempt that was selected last.
+    permit: Permit | None = None
 
     def set_attempt(self, attempt: Attempt) -> None:
         """Go on with an attempt."""
--- a/src/fescueflow/gateway/selected.py
+++ b/src/fescueflow/gateway/selected.py
@@ -4,7 +4,8 @@
 
 from fescueflow.gateway.limits import describe_share
 from fescueflow.gateway.loads import ActiveRequest
-from fescueflow.routing import BalanceBound, LimitShare, Placement, Upstream
+from fescueflow.gateway.permits import Permit
+from fescueflow.routing import BalanceBound, LimitShare, PermitEnd, Placement, Upstream
 
 
 @dataclass(frozen=True)
@@ -15,7 +16,7 @@
     the prompt, ``bound`` the load bound of the service, and ``report_age_s`` the mean
     age of the loads that other instances had reported. ``is_isolated`` is whether the
     request was sent apart because upstreams may crash under it, and ``share`` that in
-    the limit that the upstream names.
+    the limit that the upstream names. ``permit`` is that of a coordinator.
     """
 
     placement: Placement
@@ -25,12 +26,19 @@
     report_age_s: float | None = None
     is_isolated: bool = False
     share: LimitShare | None = None
+    permit: Permit | None = None
 
     @property
     def upstream(self) -> Upstream:
         """The selected upstream."""
         return self.placement.candidate.upstream
 
+    def end(self, end: PermitEnd) -> None:
+        """Stop counting the request, and return its permit."""
+        self.active_request.end()
+        if self.permit is not None:
+            self.permit.end(end)
+
     def describe(self) -> dict[str, str | int | float | bool | None]:
         """Return the log fields that explain the selection."""
         load = self.placement.candidate.load
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -155,6 +155,28 @@
             for u in ready
         )
 
+    def list_available(self, service: ServiceId) -> list[Upstream]:
+        """Return the upstreams that a coordinator may hand out.
+
+        Notes
+        -----
+        Those that failed, pause, name a limit or start cold are left out: instances
+        keep to their rates without permits.
+        """
+        now = self._clock.monotonic()
+        listed = self._platform_state.list_upstreams(service, now)
+        known = self._platform_state.find_service(service)
+        limited = self.limits.list_limited(listed)
+        with self._lock:
+            return [
+                u
+                for u in listed
+                if u.id not in limited
+                and not self._health.is_excluded(u.id, now)
+                and self._health.get_pause_end(u.id) <= now
+                and (u.cold_until <= now or known is None or not known.cold_per_s)
+            ]
+
     def mark_departing(self, upstream: Upstream) -> bool:
         """Stop using an upstream that is leaving; return whether this is new."""
         return self._platform_state.mark_departing(upstream, self._clock.monotonic())
@@ -201,11 +223,13 @@
         remaining_s: float,
         isolation_key: str | None = None,
         priority: int = PRIORITY_DEFAULT,
+        permitted: UpstreamId | None = None,
     ) -> Selection:
         """Return an upstream for the request and count the request there.
 
         ``isolation_key`` holds the suspected parts of a request under which upstreams
-        may crash, and ``priority`` is 0 for the most urgent ones.
+        may crash, and ``priority`` is 0 for the most urgent ones. ``permitted`` is the
+        upstream of a permit, which is selected unless it is known to be unusable.
 
         Raises
         ------
@@ -245,6 +269,8 @@
             in_time = self._filter_by_deadline(placements, remaining_s)
             if isolation_key is not None:
                 in_time = rank_isolated(in_time, isolation_key)
+            # Sorting keeps the order of the others.
+            in_time.sort(key=lambda p: p.candidate.upstream.id != permitted)
             passage = self._gate.choose(in_time, service, priority, now)
             chosen = passage.placement
             upstream = chosen.candidate.upstream
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -12,6 +12,12 @@
     select_in_time,
 )
 from fescueflow.routing.buckets import TokenBuckets
+from fescueflow.routing.caller_ages import RETURN_MIN_S, CallerAges
+from fescueflow.routing.coordinators import (
+    CoordinatorCandidate,
+    choose_coordinator,
+    is_coordinated,
+)
 from fescueflow.routing.crashes import (
     Crash,
     CrashId,
@@ -45,6 +51,13 @@
     Upstream,
     UpstreamState,
 )
+from fescueflow.routing.permit_queue import PermitId, PermitRequest
+from fescueflow.routing.permits import (
+    PermitAnswer,
+    PermitDecision,
+    PermitEnd,
+    PermitPool,
+)
 from fescueflow.routing.placement import (
     PREFILL_TOKENS_PER_MS,
     BalanceBound,
@@ -100,6 +113,7 @@
     "PRIORITY_DEFAULT",
     "PRIORITY_HIGHEST",
     "RELAY_DELAY_MAX_S",
+    "RETURN_MIN_S",
     "SETTLED_AGE_S",
     "SURVIVAL_S",
     "SUSPICION_S",
@@ -107,10 +121,12 @@
     "AttemptFailure",
     "BalanceBound",
     "BegunAnswer",
+    "CallerAges",
     "CallerDisconnected",
     "CallerLimits",
     "Candidate",
     "ColdStartLimiter",
+    "CoordinatorCandidate",
     "Crash",
     "CrashId",
     "CrashTable",
@@ -131,6 +147,12 @@
     "NoRoute",
     "PartId",
     "PartKey",
+    "PermitAnswer",
+    "PermitDecision",
+    "PermitEnd",
+    "PermitId",
+    "PermitPool",
+    "PermitRequest",
     "Placement",
     "Prediction",
     "ProgressTable",
@@ -157,6 +179,7 @@
     "UpstreamState",
     "Verdict",
     "blend_reports",
+    "choose_coordinator",
     "choose_service",
     "collect_evidence",
     "compute_first_byte_wait",
@@ -172,6 +195,7 @@
     "find_holder",
     "has_quarantine",
     "find_route",
+    "is_coordinated",
     "is_copy_worthwhile",
     "make_crash_id",
     "make_quarantine",
--- /dev/null
+++ b/src/fescueflow/routing/permits.py
@@ -0,0 +1,295 @@
+"""Decisions of a coordinator: who gets a permit for a slot of a small service.
+
+Load pattern: a hundred instances send single requests to upstreams with few slots, and
+none knows what the others send at the same moment. Upstreams then refuse while others
+have free slots, and requests that are late already run before those in time.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from fescueflow.core import InstanceId, UpstreamId
+from fescueflow.routing.model import ServiceId
+from fescueflow.routing.permit_queue import PermitId, PermitQueue, PermitRequest
+from fescueflow.routing.return_slots import ReturnSlots, TokenSupply
+
+# Requests beyond its slots that an upstream gets: one waits there, so that no slot is
+# idle during the round trip of a return and the next grant.
+WAITING_AT_UPSTREAM = 1
+# Life of a permit that is not returned, in mean durations and at least in seconds.
+LIFE_DURATIONS = 4.0
+LIFE_MIN_S = 1.0
+# Mean duration before any request has ended: that of a short response, in seconds.
+DURATION_DEFAULT_S = 0.1
+# Weights of the latest duration: that of the service is the mean of many upstreams'
+# samples, that of one upstream has to follow a change within about a second.
+SERVICE_WEIGHT = 0.05
+UPSTREAM_WEIGHT = 0.1
+# Longest queue: what 18 slots of 90 ms work off in about 2.5 s.
+QUEUE_MAX = 512
+# Time for which ended permits are remembered, so that a late or doubled datagram does
+# not use them again, in seconds: above all delays of datagrams.
+ENDED_MEMORY_S = 5.0
+
+
+class PermitDecision(Enum):
+    """What a coordinator answers."""
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    QUEUED = "queued"
+    # The coordinator knows no upstream for the request, which is sent without a permit.
+    OPEN = "open"
+
+
+class PermitEnd(Enum):
+    """How the use of a permit ended."""
+
+    ANSWERED = "answered"
+    # The upstream refused the request, as it was full.
+    FULL = "full"
+    # The attempt failed or was cancelled.
+    FAILED = "failed"
+    # Nothing was sent, or the request has left the queue.
+    UNUSED = "unused"
+
+
+@dataclass(frozen=True, slots=True)
+class PermitAnswer:
+    """Answer to an instance; ``retry_after_s`` is that of a refusal, in seconds."""
+
+    id: PermitId
+    instance: InstanceId
+    service: ServiceId
+    decision: PermitDecision
+    upstream: UpstreamId | None = None
+    retry_after_s: float = 0.0
+    queue_length: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PermitUse:
+    """A permit in use, until it is returned or expires."""
+
+    upstream: UpstreamId
+    instance: InstanceId
+    expires_at: float
+
+
+class PermitPool:
+    """Permits of one service at its coordinator; not thread-safe."""
+
+    def __init__(self) -> None:
+        self._slots: Mapping[UpstreamId, int] = {}
+        self._uses: dict[PermitId, PermitUse] = {}
+        self._in_use: Counter[UpstreamId] = Counter()
+        self._ended: OrderedDict[PermitId, float] = OrderedDict()
+        self._queue = PermitQueue()
+        self._return_slots = ReturnSlots()
+        self._mean_s = DURATION_DEFAULT_S
+        self._durations_s: dict[UpstreamId, float] = {}
+        # Until when an upstream counts as fuller than its permits tell, for each of its
+        # refusals.
+        self._full_until: dict[UpstreamId, list[float]] = {}
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests wait for a permit."""
+        return len(self._queue) > 0
+
+    def set_upstreams(self, slots: Mapping[UpstreamId, int]) -> None:
+        """Set the upstreams that may be handed out, with their slots."""
+        self._slots = slots
+
+    def count_in_use(self, upstream: UpstreamId) -> int:
+        """Return the number of permits in use of an upstream."""
+        return self._in_use[upstream]
+
+    def learn(
+        self,
+        permit: PermitId,
+        instance: InstanceId,
+        upstream: UpstreamId,
+        age_s: float,
+        now: float,
+    ) -> None:
+        """Note a permit in use that another coordinator has granted."""
+        if permit in self._uses or permit in self._ended or permit in self._queue:
+            return
+        expires_at = now - age_s + self._compute_life()
+        if expires_at > now:
+            self._uses[permit] = PermitUse(upstream, instance, expires_at)
+            self._in_use[upstream] += 1
+
+    def ask(self, request: PermitRequest, now: float) -> list[PermitAnswer]:
+        """Return the answer to a request, and to others that it lets go on.
+
+        Notes
+        -----
+        A request that was answered before gets the same answer; one that has ended gets
+        none.
+        """
+        answers = self.advance(now)
+        if request.id in self._ended:
+            return answers
+        use = self._uses.get(request.id)
+        if use is not None:
+            return [*answers, self._answer(request, use.upstream)]
+        if request.id in self._queue:
+            return [*answers, self._answer_queued(request)]
+        if not self._slots.keys() - request.avoid:
+            return [*answers, self._decide(request, PermitDecision.OPEN)]
+        wait_s = self._estimate_wait(request, now)
+        is_hopeless = now + wait_s + self._mean_s > request.deadline_at
+        if is_hopeless or len(self._queue) >= QUEUE_MAX:
+            return [*answers, self._refuse(request, wait_s, now)]
+        self._queue.add(request, self._mean_s, now)
+        answers += self._grant(now)
+        if request.id in self._queue:
+            answers.append(self._answer_queued(request))
+        return answers
+
+    def end(
+        self, permit: PermitId, end: PermitEnd, duration_s: float, now: float
+    ) -> list[PermitAnswer]:
+        """End a permit or a wait for one; return the answers to others.
+
+        Parameters
+        ----------
+        permit : PermitId
+        end : PermitEnd
+        duration_s : float
+            Time from the grant to the end, in seconds.
+        now : float
+        """
+        self._queue.remove(permit)
+        use = self._forget(permit, now)
+        if use is not None and end is PermitEnd.FULL:
+            self._full_until.setdefault(use.upstream, []).append(now + self._mean_s)
+        elif use is not None and end is PermitEnd.ANSWERED:
+            self._record_duration(use.upstream, duration_s)
+        return self.advance(now)
+
+    def advance(self, now: float) -> list[PermitAnswer]:
+        """Return the answers that are due without a message: refusals and grants."""
+        for permit in [p for p, u in self._uses.items() if u.expires_at <= now]:
+            self._forget(permit, now)
+        while self._ended and now - next(iter(self._ended.values())) > ENDED_MEMORY_S:
+            self._ended.popitem(last=False)
+        hopeless = self._queue.pop_hopeless(self._mean_s, now)
+        answers = [
+            self._refuse(request, self._compute_turn(), now) for request in hopeless
+        ]
+        return answers + self._grant(now)
+
+    def _grant(self, now: float) -> list[PermitAnswer]:
+        """Grant all free slots to waiting requests, in their order."""
+        answers: list[PermitAnswer] = []
+        while len(self._queue):
+            free = {u for u in self._slots if self._count_free(u, now) > 0}
+            if not free:
+                break
+            request = self._queue.pop(self._mean_s, now, free)
+            if request is None:
+                break
+            upstream = min(free - request.avoid, key=self._rank_upstream)
+            expires_at = now + self._compute_life()
+            self._uses[request.id] = PermitUse(upstream, request.instance, expires_at)
+            self._in_use[upstream] += 1
+            answers.append(self._answer(request, upstream))
+        return answers
+
+    def _count_free(self, upstream: UpstreamId, now: float) -> int:
+        penalties = [t for t in self._full_until.get(upstream, ()) if t > now]
+        if penalties:
+            self._full_until[upstream] = penalties
+        else:
+            self._full_until.pop(upstream, None)
+        granted = self._in_use[upstream] + len(penalties)
+        return self._slots[upstream] + WAITING_AT_UPSTREAM - granted
+
+    def _rank_upstream(self, upstream: UpstreamId) -> tuple[float, UpstreamId]:
+        """Return the sort key: expected time of one more request, then the name."""
+        load = (self._in_use[upstream] + 1) / self._slots[upstream]
+        return load * self._durations_s.get(upstream, self._mean_s), upstream
+
+    def _estimate_wait(self, request: PermitRequest, now: float) -> float:
+        """Return the expected time until a request is granted, in seconds."""
+        free = sum(
+            max(0, self._count_free(upstream, now))
+            for upstream in self._slots
+            if upstream not in request.avoid
+        )
+        ahead = self._queue.count_ahead(request, self._mean_s, now)
+        return max(0, ahead + 1 - free) * self._compute_turn()
+
+    def _compute_turn(self) -> float:
+        """Return the mean time from one end of a request to the next, in seconds."""
+        return self._mean_s / max(1, sum(self._slots.values()))
+
+    def _compute_life(self) -> float:
+        return max(LIFE_MIN_S, LIFE_DURATIONS * self._mean_s)
+
+    def _record_duration(self, upstream: UpstreamId, duration_s: float) -> None:
+        self._mean_s += SERVICE_WEIGHT * (duration_s - self._mean_s)
+        known_s = self._durations_s.get(upstream, self._mean_s)
+        self._durations_s[upstream] = known_s + UPSTREAM_WEIGHT * (duration_s - known_s)
+
+    def _forget(self, permit: PermitId, now: float) -> PermitUse | None:
+        self._ended[permit] = now
+        self._ended.move_to_end(permit)
+        use = self._uses.pop(permit, None)
+        if use is not None:
+            self._in_use[use.upstream] -= 1
+        return use
+
+    def _refuse(
+        self, request: PermitRequest, wait_s: float, now: float
+    ) -> PermitAnswer:
+        """Return a refusal with the next return slot of the request's class."""
+        slots = sum(self._slots.values())
+        rate = 1.0 / self._compute_turn() if slots else 0.0
+        supply = TokenSupply(whole=0, depth=slots, rate=rate, next_s=wait_s)
+        retry_after_s = self._return_slots.take_slot(
+            request.service, request.priority, supply, now
+        )
+        self._forget(request.id, now)
+        return PermitAnswer(
+            request.id,
+            request.instance,
+            request.service,
+            PermitDecision.REFUSED,
+            retry_after_s=retry_after_s,
+            queue_length=len(self._queue),
+        )
+
+    def _answer(self, request: PermitRequest, upstream: UpstreamId) -> PermitAnswer:
+        return self._decide(request, PermitDecision.GRANTED, upstream)
+
+    def _answer_queued(self, request: PermitRequest) -> PermitAnswer:
+        return self._decide(request, PermitDecision.QUEUED)
+
+    def _decide(
+        self,
+        request: PermitRequest,
+        decision: PermitDecision,
+        upstream: UpstreamId | None = None,
+    ) -> PermitAnswer:
+        return PermitAnswer(
+            request.id,
+            request.instance,
+            request.service,
+            decision,
+            upstream,
+            queue_length=len(self._queue),
+        )
+
+
+__all__ = [
+    "PermitAnswer",
+    "PermitDecision",
+    "PermitEnd",
+    "PermitPool",
+]
