Test permits between instances with failures of instances and links

Cause: permits of limited upstreams are not handed out, so that nobody heard of the end of a limit while others took all requests; an upstream that was measured as slow and got little kept its duration for ever. Both were found by the new tests. Change: an instance with a token of a limited upstream sends there without a permit; durations of upstreams decay to the mean of the service. Tested: tests.gateway.test_permits (25 tests on simulated time, and with one real gateway), tests.routing.test_permits (30 tests): pass.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -289,10 +289,14 @@
         RequestError
             If the request can't be sent.
         """
-        permit = None
+        permit = permitted = None
         # A request that is sent apart has to go to an upstream of its own.
         if isolation_key is None:
-            permit = self._permits.acquire(context, priority)
+            permitted = self._permits.find_limited(context)
+            if permitted is None:
+                permit = self._permits.acquire(context, priority)
+        if permit is not None:
+            permitted = permit.upstream
         try:
             selection = self._selector.select(
                 context.service,
@@ -301,7 +305,7 @@
                 context.deadline - self._clock.monotonic(),
                 isolation_key,
                 priority=priority,
-                permitted=permit.upstream if permit is not None else None,
+                permitted=permitted,
             )
         except BaseException:
             if permit is not None:
--- a/src/fescueflow/gateway/permit_desk.py
+++ b/src/fescueflow/gateway/permit_desk.py
@@ -53,13 +53,22 @@
 
     def start(self) -> None:
         """Start the thread that serves queued requests in time."""
-        threading.Thread(target=self._run, name="permits", daemon=True).start()
+        threading.Thread(target=self.run, name="permits", daemon=True).start()
 
     def stop(self) -> None:
         """Stop the thread."""
         self._stopped.set()
         self._has_waiting.set()
 
+    def get_pool(self, service: ServiceId) -> PermitPool | None:
+        """Return the permits of a service, ``None`` if nobody has asked for one."""
+        return self._pools.get(service)
+
+    def forget(self, service: ServiceId) -> None:
+        """Forget the permits of a service, as a new coordinator knows none."""
+        with self._lock:
+            self._forget(service)
+
     def ask(self, ask: PermitAsk) -> None:
         """Answer a request for a permit, at once or with others that end."""
         request = ask.request
@@ -95,12 +104,17 @@
 
     def _open_pool(self, service: ServiceId, now: float) -> PermitPool:
         for old in [s for s, t in self._used_at.items() if now - t > POOL_MEMORY_S]:
-            del self._pools[old], self._used_at[old], self._refreshed_at[old]
+            self._forget(old)
         self._pools.setdefault(service, PermitPool())
         self._used_at[service] = now
         self._refresh(service, now)
         return self._pools[service]
 
+    def _forget(self, service: ServiceId) -> None:
+        self._pools.pop(service, None)
+        self._used_at.pop(service, None)
+        self._refreshed_at.pop(service, None)
+
     def _refresh(self, service: ServiceId, now: float) -> None:
         if now - self._refreshed_at.get(service, -1e9) >= UPSTREAMS_CACHE_S:
             self._refreshed_at[service] = now
@@ -113,7 +127,8 @@
             if any(pool.has_waiting for pool in self._pools.values()):
                 self._has_waiting.set()
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Serve queued requests in time, until this is stopped."""
         while not self._stopped.is_set():
             # Without a limit, a stop between the test and the wait would be missed.
             if not self._clock.wait(self._has_waiting, 1.0):
--- a/src/fescueflow/gateway/permits.py
+++ b/src/fescueflow/gateway/permits.py
@@ -109,7 +109,7 @@
         metrics: Metrics,
     ) -> None:
         self._peers = peers
-        self._coordinators = coordinators
+        self.coordinators = coordinators
         self._get_mean_duration_s = get_mean_duration_s
         self._send = send
         self._clock = clock
@@ -137,7 +137,7 @@
         """
         asked_at = self._clock.monotonic()
         while True:
-            coordinator = self._coordinators.find(need.service, self._clock.monotonic())
+            coordinator = self.coordinators.find(need.service, self._clock.monotonic())
             if coordinator is None:
                 return None
             waiter = self._open_waiter(coordinator)
@@ -149,7 +149,7 @@
                 raise
             answer = self._close_waiter(need, waiter)
             if answer is None and self._is_coordinator(waiter, need.service):
-                self._coordinators.pause(waiter.coordinator, self._clock.monotonic())
+                self.coordinators.pause(waiter.coordinator, self._clock.monotonic())
                 self._record(need, waiter, "unanswered", asked_at)
                 return None
             if answer is not None:
@@ -178,7 +178,7 @@
             self._active.pop(permit.id, None)
         duration_s = max(0.0, now - permit.granted_at)
         receivers = {permit.coordinator}
-        current = self._coordinators.find(permit.service, now)
+        current = self.coordinators.find(permit.service, now)
         if current is not None:
             receivers.add(current.instance)
         for receiver in receivers:
@@ -355,7 +355,7 @@
             self._return(sent.sender, answer.id, answer.service, PermitEnd.UNUSED, 0.0)
 
     def _is_coordinator(self, waiter: Waiter, service: ServiceId) -> bool:
-        current = self._coordinators.find(service, self._clock.monotonic())
+        current = self.coordinators.find(service, self._clock.monotonic())
         return current is not None and current.instance == waiter.coordinator
 
     def _record_delay(self, seconds: float) -> None:
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -280,7 +280,7 @@
             quarantine=self._quarantine,
             probe=ReachabilityProbe(self._pool, self._clock, self._metrics),
             metrics=self._metrics,
-            permits=RequestPermits(self._permits, self._clock),
+            permits=RequestPermits(self._permits, self._selector, self._clock),
         )
         forwarder = Forwarder(
             selector=self._selector,
--- a/src/fescueflow/gateway/request_permits.py
+++ b/src/fescueflow/gateway/request_permits.py
@@ -2,10 +2,11 @@
 
 import threading
 
-from fescueflow.core import Clock
+from fescueflow.core import Clock, UpstreamId
 from fescueflow.gateway.permit_waits import PermitNeed
 from fescueflow.gateway.permits import Permit, PermitClient
 from fescueflow.gateway.requests import RequestContext
+from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.routing import RETURN_MIN_S, CallerAges
 
 
@@ -15,15 +16,26 @@
     Parameters
     ----------
     client : PermitClient
+    selector : UpstreamSelector
     clock : Clock
     """
 
-    def __init__(self, client: PermitClient, clock: Clock) -> None:
+    def __init__(
+        self, client: PermitClient, selector: UpstreamSelector, clock: Clock
+    ) -> None:
         self._client = client
+        self._selector = selector
         self._clock = clock
         self._lock = threading.Lock()
         self._ages = CallerAges()
 
+    def find_limited(self, context: RequestContext) -> UpstreamId | None:
+        """Return an upstream with a limit that needs no permit, but has a token."""
+        now = self._clock.monotonic()
+        if self._client.coordinators.find(context.service, now) is None:
+            return None
+        return self._selector.find_limited(context.service, context.tried)
+
     def acquire(self, context: RequestContext, priority: int) -> Permit | None:
         """Return a permit, ``None`` if the attempt needs none or can't have one.
 
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 from dataclasses import replace
 
 from fescueflow.core import Clock, Overloaded, UpstreamId
@@ -177,6 +178,30 @@
                 and (u.cold_until <= now or known is None or not known.cold_per_s)
             ]
 
+    def find_limited(
+        self, service: ServiceId, tried: AbstractSet[UpstreamId]
+    ) -> UpstreamId | None:
+        """Return an upstream with a limit of which this instance has a token.
+
+        Notes
+        -----
+        Coordinators do not hand it out. Without requests, nobody would hear that its
+        limit has ended.
+        """
+        now = self._clock.monotonic()
+        listed = self._platform_state.list_upstreams(service, now)
+        limited = self.limits.list_limited(listed)
+        if not limited:
+            return None
+        with self._lock:
+            usable = self._find_usable(listed, set(tried), now)
+        for upstream in usable:
+            if upstream.id in limited:
+                share = self.limits.find_share(upstream, now)
+                if share and self.limits.has_token(upstream, share, now):
+                    return upstream.id
+        return None
+
     def mark_departing(self, upstream: Upstream) -> bool:
         """Stop using an upstream that is leaving; return whether this is new."""
         return self._platform_state.mark_departing(upstream, self._clock.monotonic())
@@ -228,8 +253,8 @@
         """Return an upstream for the request and count the request there.
 
         ``isolation_key`` holds the suspected parts of a request under which upstreams
-        may crash, and ``priority`` is 0 for the most urgent ones. ``permitted`` is the
-        upstream of a permit, which is selected unless it is known to be unusable.
+        may crash, and ``priority`` is 0 for the most urgent ones. ``permitted`` is an
+        upstream that is selected unless it is known to be unusable.
 
         Raises
         ------
--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -5,6 +5,7 @@
 have free slots, and requests that are late already run before those in time.
 """
 
+import math
 from collections import Counter, OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -27,6 +28,9 @@
 # samples, that of one upstream has to follow a change within about a second.
 SERVICE_WEIGHT = 0.05
 UPSTREAM_WEIGHT = 0.1
+# Time constant with which an upstream's duration is forgotten, in seconds: one that is
+# handed out seldom would otherwise count as slow for long after it has recovered.
+DURATION_MEMORY_S = 3.0
 # Longest queue: what 18 slots of 90 ms work off in about 2.5 s.
 QUEUE_MAX = 512
 # Time for which ended permits are remembered, so that a late or doubled datagram does
@@ -89,7 +93,8 @@
         self._queue = PermitQueue()
         self._return_slots = ReturnSlots()
         self._mean_s = DURATION_DEFAULT_S
-        self._durations_s: dict[UpstreamId, float] = {}
+        # Duration of each upstream, and when it was measured.
+        self._durations_s: dict[UpstreamId, tuple[float, float]] = {}
         # Until when an upstream counts as fuller than its permits tell, for each of its
         # refusals.
         self._full_until: dict[UpstreamId, list[float]] = {}
@@ -169,7 +174,7 @@
         if use is not None and end is PermitEnd.FULL:
             self._full_until.setdefault(use.upstream, []).append(now + self._mean_s)
         elif use is not None and end is PermitEnd.ANSWERED:
-            self._record_duration(use.upstream, duration_s)
+            self._record_duration(use.upstream, duration_s, now)
         return self.advance(now)
 
     def advance(self, now: float) -> list[PermitAnswer]:
@@ -194,7 +199,11 @@
             request = self._queue.pop(self._mean_s, now, free)
             if request is None:
                 break
-            upstream = min(free - request.avoid, key=self._rank_upstream)
+            costs = {
+                upstream: self._estimate_cost(upstream, now)
+                for upstream in free - request.avoid
+            }
+            upstream = min(costs, key=lambda name: (costs[name], name))
             expires_at = now + self._compute_life()
             self._uses[request.id] = PermitUse(upstream, request.instance, expires_at)
             self._in_use[upstream] += 1
@@ -210,10 +219,15 @@
         granted = self._in_use[upstream] + len(penalties)
         return self._slots[upstream] + WAITING_AT_UPSTREAM - granted
 
-    def _rank_upstream(self, upstream: UpstreamId) -> tuple[float, UpstreamId]:
-        """Return the sort key: expected time of one more request, then the name."""
+    def _estimate_cost(self, upstream: UpstreamId, now: float) -> float:
+        """Return the duration of one more request by the load of the slots."""
         load = (self._in_use[upstream] + 1) / self._slots[upstream]
-        return load * self._durations_s.get(upstream, self._mean_s), upstream
+        return load * self._estimate_duration(upstream, now)
+
+    def _estimate_duration(self, upstream: UpstreamId, now: float) -> float:
+        known_s, measured_at = self._durations_s.get(upstream, (self._mean_s, now))
+        kept = math.exp(-max(0.0, now - measured_at) / DURATION_MEMORY_S)
+        return self._mean_s + kept * (known_s - self._mean_s)
 
     def _estimate_wait(self, request: PermitRequest, now: float) -> float:
         """Return the expected time until a request is granted, in seconds."""
@@ -232,10 +246,13 @@
     def _compute_life(self) -> float:
         return max(LIFE_MIN_S, LIFE_DURATIONS * self._mean_s)
 
-    def _record_duration(self, upstream: UpstreamId, duration_s: float) -> None:
+    def _record_duration(
+        self, upstream: UpstreamId, duration_s: float, now: float
+    ) -> None:
+        known_s = self._estimate_duration(upstream, now)
+        known_s += UPSTREAM_WEIGHT * (duration_s - known_s)
+        self._durations_s[upstream] = known_s, now
         self._mean_s += SERVICE_WEIGHT * (duration_s - self._mean_s)
-        known_s = self._durations_s.get(upstream, self._mean_s)
-        self._durations_s[upstream] = known_s + UPSTREAM_WEIGHT * (duration_s - known_s)
 
     def _forget(self, permit: PermitId, now: float) -> PermitUse | None:
         self._ended[permit] = now
--- /dev/null
+++ b/tests/gateway/test_permits.py
@@ -0,0 +1,377 @@
+"""Tests of permits between instances, with failures of instances and links."""
+
+import json
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fescueflow.core import Outcome, Overloaded
+from fescueflow.gateway.coordinators import UNANSWERED_PAUSE_S
+from fescueflow.gateway.permit_codec import PERMIT_MARK, decode_permit
+from fescueflow.gateway.permits import ANSWER_TIMEOUT_S, QUEUE_CHECK_S, Permit
+from fescueflow.gateway.relay import decode_update
+from fescueflow.routing import CallerDisconnected, PermitEnd
+from tests.gateway.gateway_case import GatewayTestCase
+from tests.gateway.permit_fleet import ONE_WAY_S, SLOTS, PermitFleet
+from tests.routing.builders import BOOKINGS
+
+# An unanswered request waits for the time-out and the usual delay, at most this long.
+UNANSWERED_MAX_S = ANSWER_TIMEOUT_S + 0.05
+
+
+def read_kind(data):
+    return json.loads(data[1:])["kind"]
+
+
+class PermitCase(unittest.TestCase):
+    def start(self, **changes):
+        fleet = PermitFleet(**changes)
+        self.addCleanup(fleet.time.end)
+        return fleet
+
+    def check_granted(self, result):
+        self.assertTrue(result, "no answer yet")
+        self.assertIsInstance(result[0], Permit)
+        return result[0]
+
+    def check_without(self, result):
+        self.assertTrue(result, "no answer yet")
+        self.assertIsNone(result[0])
+
+
+class PermitPathTest(PermitCase):
+    """Guards against requests beyond the slots, and slots that stay idle."""
+
+    def test_granted_at_once(self):
+        fleet = self.start()
+        result = fleet.ask(fleet.list_others()[0])
+        fleet.time.run(0.1)
+        self.check_granted(result).end(PermitEnd.ANSWERED)
+        self.assertLess(result[1], 3 * ONE_WAY_S)
+        fleet.time.run(0.1)
+        self.assertEqual(fleet.count_in_use(fleet.coordinator), 0)
+
+    def test_queued_until_a_return(self):
+        fleet = self.start()
+        first, second = fleet.list_others()[:2]
+        permits = fleet.fill(first)
+        result = fleet.ask(second)
+        fleet.time.run(0.3)
+        self.assertFalse(result)
+        permits[0].end(PermitEnd.ANSWERED)
+        fleet.time.run(0.1)
+        self.check_granted(result)
+        self.assertLess(result[1], 0.32)
+        self.assertEqual(fleet.count_in_use(fleet.coordinator), SLOTS + 1)
+
+    def test_coordinator_sends_itself_nothing(self):
+        fleet = self.start()
+        result = fleet.ask(fleet.coordinator)
+        fleet.time.run(0.01)
+        self.check_granted(result).end(PermitEnd.ANSWERED)
+        self.assertEqual(fleet.sent, [])
+        self.assertEqual(fleet.count_in_use(fleet.coordinator), 0)
+
+    def test_deadline_in_the_queue(self):
+        fleet = self.start()
+        first, second = fleet.list_others()[:2]
+        fleet.fill(first)
+        result = fleet.ask(second, deadline_s=0.6)
+        fleet.time.run(0.7)
+        self.assertIsInstance(result[0], Overloaded)
+        self.assertEqual(result[0].outcome, Outcome.NOT_RUN)
+        self.assertGreater(result[0].retry_after_ms, 0)
+        self.assertLess(result[1], 0.55)
+
+    def test_refused_at_once(self):
+        fleet = self.start()
+        result = fleet.ask(fleet.list_others()[0], deadline_s=0.05)
+        fleet.time.run(0.02)
+        self.assertIsInstance(result[0], Overloaded)
+        self.assertLess(result[1], 3 * ONE_WAY_S)
+
+    def test_caller_that_leaves_the_queue(self):
+        fleet = self.start()
+        first, second = fleet.list_others()[:2]
+        fleet.fill(first)
+        result = fleet.ask(second, is_caller_disconnected=lambda: True)
+        fleet.time.run(QUEUE_CHECK_S + 0.1)
+        self.assertIsInstance(result[0], CallerDisconnected)
+        self.assertFalse(fleet.coordinator.client.desk.get_pool(BOOKINGS).has_waiting)
+
+    def test_small_fleet(self):
+        fleet = self.start(instances=12)
+        result = fleet.ask(next(iter(fleet.instances.values())))
+        fleet.time.run(0.01)
+        self.check_without(result)
+        self.assertEqual(fleet.sent, [])
+
+    def test_more_slots_than_instances(self):
+        fleet = self.start(upstreams=7)
+        result = fleet.ask(next(iter(fleet.instances.values())))
+        fleet.time.run(0.01)
+        self.check_without(result)
+
+
+class PermitFailureTest(PermitCase):
+    """Guards against callers that pay for a coordinator or a datagram that is lost."""
+
+    def check_fallback(self, fleet, instance):
+        """Check that requests go on without permits, and ask again after a second."""
+        result = fleet.ask(instance)
+        fleet.time.run(0.2)
+        self.check_without(result)
+        self.assertLess(result[1], UNANSWERED_MAX_S)
+        self.assertEqual(instance.count("unanswered"), 1)
+        result = fleet.ask(instance)
+        fleet.time.run(0.01)
+        self.check_without(result)
+        self.assertEqual(result[1], 0.0)
+
+    def test_killed_coordinator(self):
+        fleet = self.start()
+        killed, instance = fleet.coordinator, fleet.list_others()[0]
+        fleet.dead.add(killed.name)
+        self.check_fallback(fleet, instance)
+        # Instances notice the end after 1.5 s, and choose another coordinator.
+        fleet.time.run(2.0)
+        self.assertIsNot(fleet.coordinator, killed)
+        result = fleet.ask(fleet.list_others()[0])
+        fleet.time.run(0.1)
+        self.check_granted(result)
+
+    def test_coordinator_killed_while_requests_wait(self):
+        fleet = self.start()
+        first, second = fleet.list_others()[:2]
+        fleet.fill(first)
+        result = fleet.ask(second)
+        fleet.time.run(0.05)
+        fleet.dead.add(fleet.coordinator.name)
+        fleet.time.run(QUEUE_CHECK_S + 0.1)
+        self.check_without(result)
+
+    def test_frozen_coordinator(self):
+        fleet = self.start()
+        frozen, instance = fleet.coordinator, fleet.list_others()[0]
+        fleet.time.frozen.add(frozen.name)
+        self.check_fallback(fleet, instance)
+        fleet.time.frozen.clear()
+        fleet.time.run(1.0)
+        # What it granted late is given back, and it serves as before.
+        self.assertEqual(fleet.count_in_use(frozen), 0)
+        result = fleet.ask(instance)
+        fleet.time.run(0.1)
+        self.check_granted(result)
+
+    def test_instance_that_is_cut_off(self):
+        fleet = self.start()
+        instance, other = fleet.list_others()[:2]
+        fleet.cut.add(instance.name)
+        self.check_fallback(fleet, instance)
+        result = fleet.ask(other)
+        fleet.time.run(0.1)
+        self.check_granted(result)
+
+    def test_asked_again_after_a_second(self):
+        fleet = self.start()
+        instance = fleet.list_others()[0]
+        fleet.deliver = lambda *message: []
+        self.check_fallback(fleet, instance)
+        fleet.deliver = lambda *message: [ONE_WAY_S]
+        fleet.time.run(UNANSWERED_PAUSE_S)
+        result = fleet.ask(instance)
+        fleet.time.run(0.1)
+        self.check_granted(result)
+
+    def test_lost_grant(self):
+        fleet = self.start()
+        instance = fleet.list_others()[0]
+        fleet.deliver = lambda sender, receiver, data: (
+            [] if read_kind(data) == "answer" else [ONE_WAY_S]
+        )
+        self.check_fallback(fleet, instance)
+        self.assertEqual(fleet.count_in_use(fleet.instances[fleet.sent[0][1]]), 0)
+
+    def test_lost_return(self):
+        fleet = self.start()
+        permits = fleet.fill(fleet.list_others()[0])
+        fleet.deliver = lambda *message: []
+        fleet.end_all(permits)
+        fleet.deliver = lambda *message: [ONE_WAY_S]
+        # Permits expire after a second.
+        result = fleet.ask(fleet.list_others()[1])
+        fleet.time.run(1.1)
+        self.check_granted(result)
+
+    def test_doubled_datagrams(self):
+        fleet = self.start()
+        instance = fleet.list_others()[0]
+        fleet.deliver = lambda *message: [ONE_WAY_S, 5 * ONE_WAY_S]
+        permits = fleet.fill(instance)
+        fleet.time.run(0.1)
+        self.assertEqual(fleet.count_in_use(fleet.coordinator), SLOTS + 1)
+        fleet.end_all(permits)
+        fleet.time.run(0.1)
+        self.assertEqual(fleet.count_in_use(fleet.coordinator), 0)
+        self.assertEqual(instance.count("unanswered"), 0)
+
+    def test_late_grant_is_returned(self):
+        fleet = self.start()
+        instance = fleet.list_others()[0]
+        fleet.deliver = lambda *message: [0.06]
+        result = fleet.ask(instance)
+        fleet.time.run(0.3)
+        self.check_without(result)
+        self.assertEqual(fleet.count_in_use(fleet.instances[fleet.sent[0][1]]), 0)
+
+    def test_two_coordinators(self):
+        fleet = self.start()
+        first = fleet.coordinator
+        permits = fleet.fill(fleet.list_others()[0])
+        # One instance does not know the coordinator.
+        other = fleet.list_others()[1]
+        other.peers.drop_old(fleet.time.now + 100.0)
+        for instance in fleet.instances.values():
+            if instance not in (first, other):
+                other.peers.merge(instance.peers.get_own_record())
+        fleet.time.run(0.21)
+        found = other.client.coordinators.find(BOOKINGS, fleet.time.now)
+        self.assertNotEqual(found.instance, first.name)
+        permits += fleet.fill(other)
+        fleet.time.run(0.01)
+        second = fleet.instances[found.instance]
+        for coordinator in (first, second):
+            self.assertLessEqual(fleet.count_in_use(coordinator), SLOTS + 1)
+        fleet.end_all(permits)
+        fleet.time.run(0.1)
+        self.assertEqual([fleet.count_in_use(c) for c in (first, second)], [0, 0])
+
+    def test_new_coordinator_learns_what_runs(self):
+        fleet = self.start()
+        old, instance = fleet.coordinator, fleet.list_others()[-1]
+        fleet.dead.add(old.name)
+        fleet.time.run(1.6)
+        if instance is fleet.coordinator:
+            instance = fleet.list_others()[0]
+        # As after a change: its permits are those of the coordinator before.
+        permits = fleet.fill(instance)
+        coordinator = fleet.coordinator
+        coordinator.client.desk.forget(BOOKINGS)
+        result = fleet.ask(instance)
+        fleet.time.run(0.1)
+        self.assertFalse(result, "it was granted a slot in use")
+        fleet.end_all(permits)
+        fleet.time.run(0.1)
+        self.check_granted(result)
+
+
+class PermitMessageTest(unittest.TestCase):
+    """Guards against datagrams that other versions or strangers send."""
+
+    def test_earlier_versions_refuse_the_datagrams(self):
+        with self.assertRaises(ValueError):
+            decode_update(PERMIT_MARK + b'{"kind":"ask"}')
+
+    @settings(deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(
+                "kind permit from service priority left_s objective_s returning avoid"
+                " uses to decision upstream retry_after_s queue end duration_s".split()
+            ),
+            st.one_of(
+                st.sampled_from(["ask", "answer", "return", "granted", "full"]),
+                st.integers(),
+                st.floats(),
+                st.sampled_from(["", "a", "\x00", "\ud800", "x" * 300]),
+                st.none(),
+                st.sampled_from([[], ["a"], [[]], [["a", "b", 1]], [["a", "b", "c"]]]),
+            ),
+        )
+    )
+    def test_malformed_datagrams(self, document):
+        data = PERMIT_MARK + json.dumps(document).encode()
+        try:
+            decode_permit(data, 0.0)
+        except ValueError:
+            return
+        self.assertIn(document["kind"], ("ask", "answer", "return"))
+
+    def test_truncated_datagrams(self):
+        for data in (b"P", b"P[", b"P[1]", b"P1", b"P" + b"[" * 9000, b"P\xff"):
+            with self.assertRaises(ValueError):
+                decode_permit(data, 0.0)
+
+
+class PermitReturnTest(GatewayTestCase):
+    """Guards against permits that an attempt keeps, however it ends."""
+
+    def setUp(self):
+        super().setUp()
+        patch = mock.patch(
+            "fescueflow.gateway.coordinators.is_coordinated", lambda *_: True
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        # The instance has found out that it needs no coordinator before.
+        self.wait_for(lambda: self.call("/safe/1") and self.pool is not None)
+
+    @property
+    def pool(self):
+        return self.gateway._permits.desk.get_pool("engines")
+
+    def check_returned(self):
+        names = [upstream.name for upstream in self.upstreams]
+        self.wait_for(lambda: not any(map(self.pool.count_in_use, names)))
+
+    def test_all_ends(self):
+        def refuse(handler):
+            handler.send_sealed(503, headers=[("X-Not-Executed", "1")])
+
+        for scripts in (
+            [lambda handler: handler.send_sealed()] * 2,
+            [lambda handler: handler.send_sealed(500)] * 2,
+            [lambda handler: handler.connection.close()] * 2,
+            [refuse] * 2,
+        ):
+            self.set_script(*scripts)
+            for target in ("/safe/1", "/once/1", "/stream/1"):
+                self.call(target)
+                self.check_returned()
+
+    def test_upstreams_that_are_not_handed_out(self):
+        list_available = self.gateway._selector.list_available
+        for header, until in (("Server-Limit", "5"), ("Server-Leaving", "1")):
+            named = []
+
+            def name_one(handler, header=header, until=until, named=named):
+                if not named:
+                    named.append(handler.upstream_name)
+                is_named = handler.upstream_name == named[0]
+                handler.send_sealed(headers=[(header, until)] if is_named else [])
+
+            self.set_script(name_one, name_one)
+            self.wait_for(
+                lambda: self.call("/safe/1") and len(list_available("engines")) == 1
+            )
+            if header == "Server-Limit":
+                # Its end is heard only if requests go on to the upstream.
+                self.set_script(*[lambda handler: handler.send_sealed()] * 2)
+                self.wait_for(
+                    lambda: self.call("/safe/1") and len(list_available("engines")) == 2
+                )
+        self.check_returned()
+
+    def test_upstream_that_refuses_connections(self):
+        # Kept connections end with the next requests.
+        self.set_script(*[lambda handler: handler.connection.close()] * 2)
+        for upstream in self.upstreams:
+            upstream.close()
+        self.wait_for(lambda: self.call("/once/1")[0] == 503)
+        self.check_returned()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -118,17 +118,32 @@
             pool.ask(make_request(f"r{number}"), 0.0)
         self.assertEqual(pool.count_in_use(ONE), 2)
 
+    def run_rounds(self, pool, slow_s):
+        """Let nine requests run at a time, which take longer at one upstream."""
+        for number in range(10):
+            answers = [
+                pool.ask(make_request(f"{number}-{n}"), 0.0)[0] for n in range(9)
+            ]
+            for answer in answers:
+                duration_s = slow_s if answer.upstream == ONE else 0.09
+                pool.end(answer.id, PermitEnd.ANSWERED, duration_s, 0.0)
+
     def test_slow_upstream_gets_less(self):
         pool = make_pool(slots=6, upstreams=UPSTREAMS)
-        for number in range(60):
-            answer = pool.ask(make_request(f"r{number}"), 0.0)[0]
-            duration_s = 0.3 if answer.upstream == ONE else 0.09
-            pool.end(answer.id, PermitEnd.ANSWERED, duration_s, 0.0)
+        self.run_rounds(pool, 0.3)
         for number in range(9):
             pool.ask(make_request(f"s{number}"), 0.0)
         # An even share would be three.
         self.assertLess(pool.count_in_use(ONE), 3)
 
+    def test_slow_upstream_that_has_recovered(self):
+        pool = make_pool(slots=6, upstreams=UPSTREAMS)
+        self.run_rounds(pool, 0.3)
+        # Its duration is not measured meanwhile.
+        for number in range(9):
+            pool.ask(make_request(f"s{number}", 35.0, 30.0), 30.0)
+        self.assertEqual(pool.count_in_use(ONE), 3)
+
     def test_order(self):
         pool = make_pool()
         first, second = fill_pool(pool)
