Describe permits, and leave out upstreams that fail at other instances

Cause: the coordinator sends little itself, so that it does not see upstreams fail, and one without permits in use would be granted to everyone. Change: returns tell refused connections, failures and callers that left; the coordinator leaves upstreams out by UpstreamHealth, and a request names those that its instance leaves out.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -204,7 +204,7 @@
 
     def cancel(self) -> None:
         """End after a disconnect or a passed deadline; closes the connection."""
-        if self._end(PermitEnd.FAILED):
+        if self._end(PermitEnd.CANCELLED):
             self._connection.close()
             self._client.record_abandoned(self)
 
@@ -270,8 +270,8 @@
                 connection = self._pool.open(upstream.address, remaining_s)
                 self._metrics.count("upstream_connections")
         except OSError as error:
-            selection.end(PermitEnd.UNUSED)
             is_down = isinstance(error, ConnectionRefusedError)
+            selection.end(PermitEnd.UNREACHABLE if is_down else PermitEnd.FAILED)
             self._record_unhealthy(upstream.id, is_down)
             if is_down:
                 self._quarantine.record_refusal(upstream)
--- a/src/fescueflow/gateway/permit_waits.py
+++ b/src/fescueflow/gateway/permit_waits.py
@@ -12,8 +12,8 @@
 class PermitNeed:
     """A request that needs a permit; times are on the monotonic clock.
 
-    ``objective_at`` is the end of the latency objective, and ``tried`` holds the
-    upstreams that are not tried again.
+    ``objective_at`` is the end of the latency objective, and ``avoid`` holds the
+    upstreams to which it can't be sent.
     """
 
     attempt_id: str
@@ -22,7 +22,7 @@
     deadline: float
     objective_at: float
     is_returning: bool
-    tried: frozenset[UpstreamId]
+    avoid: frozenset[UpstreamId]
     is_caller_disconnected: Callable[[], bool]
 
 
--- a/src/fescueflow/gateway/permits.py
+++ b/src/fescueflow/gateway/permits.py
@@ -305,7 +305,7 @@
             need.deadline,
             need.objective_at,
             need.is_returning,
-            need.tried,
+            need.avoid,
         )
         with self._lock:
             uses = tuple(
--- a/src/fescueflow/gateway/request_permits.py
+++ b/src/fescueflow/gateway/request_permits.py
@@ -9,6 +9,9 @@
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.routing import RETURN_MIN_S, CallerAges
 
+# Highest number of a priority; configurations may hold others.
+PRIORITY_MAX = 9
+
 
 class RequestPermits:
     """Asks for the permits of attempts; thread-safe.
@@ -56,15 +59,16 @@
             age_s = self._ages.estimate(
                 route.id, request.headers.deadline_s, self._clock.monotonic()
             )
+        avoid = self._selector.find_failing(context.service) | context.tried
         context.permit = self._client.acquire(
             PermitNeed(
                 attempt_id=request.headers.attempt_id,
                 service=context.service,
-                priority=priority,
+                priority=min(PRIORITY_MAX, max(0, priority)),
                 deadline=context.deadline,
                 objective_at=request.received_at - age_s + route.target_s,
                 is_returning=age_s >= RETURN_MIN_S,
-                tried=frozenset(context.tried),
+                avoid=avoid,
                 is_caller_disconnected=request.is_caller_disconnected,
             )
         )
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -178,6 +178,18 @@
                 and (u.cold_until <= now or known is None or not known.cold_per_s)
             ]
 
+    def find_failing(self, service: ServiceId) -> frozenset[UpstreamId]:
+        """Return the upstreams of a service that this instance leaves out now."""
+        now = self._clock.monotonic()
+        listed = self._platform_state.list_upstreams(service, now)
+        with self._lock:
+            return frozenset(
+                u.id
+                for u in listed
+                if self._health.is_excluded(u.id, now)
+                or self._health.get_pause_end(u.id) > now
+            )
+
     def find_limited(
         self, service: ServiceId, tried: AbstractSet[UpstreamId]
     ) -> UpstreamId | None:
--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from fescueflow.core import InstanceId, UpstreamId
+from fescueflow.routing.health import UpstreamHealth
 from fescueflow.routing.model import ServiceId
 from fescueflow.routing.permit_queue import PermitId, PermitQueue, PermitRequest
 from fescueflow.routing.return_slots import ReturnSlots, TokenSupply
@@ -54,8 +55,11 @@
     ANSWERED = "answered"
     # The upstream refused the request, as it was full.
     FULL = "full"
-    # The attempt failed or was cancelled.
     FAILED = "failed"
+    # The upstream refused the connection.
+    UNREACHABLE = "unreachable"
+    # The caller left, or its deadline passed.
+    CANCELLED = "cancelled"
     # Nothing was sent, or the request has left the queue.
     UNUSED = "unused"
 
@@ -98,6 +102,8 @@
         # Until when an upstream counts as fuller than its permits tell, for each of its
         # refusals.
         self._full_until: dict[UpstreamId, list[float]] = {}
+        # Failures that other instances saw, as the coordinator sends little itself.
+        self._health = UpstreamHealth()
 
     @property
     def has_waiting(self) -> bool:
@@ -171,10 +177,8 @@
         """
         self._queue.remove(permit)
         use = self._forget(permit, now)
-        if use is not None and end is PermitEnd.FULL:
-            self._full_until.setdefault(use.upstream, []).append(now + self._mean_s)
-        elif use is not None and end is PermitEnd.ANSWERED:
-            self._record_duration(use.upstream, duration_s, now)
+        if use is not None:
+            self._record_end(use.upstream, end, duration_s, now)
         return self.advance(now)
 
     def advance(self, now: float) -> list[PermitAnswer]:
@@ -189,11 +193,23 @@
         ]
         return answers + self._grant(now)
 
+    def _record_end(
+        self, upstream: UpstreamId, end: PermitEnd, duration_s: float, now: float
+    ) -> None:
+        if end is PermitEnd.FULL:
+            self._full_until.setdefault(upstream, []).append(now + self._mean_s)
+        elif end is PermitEnd.ANSWERED:
+            self._health.record_success(upstream)
+            self._record_duration(upstream, duration_s, now)
+        elif end in (PermitEnd.FAILED, PermitEnd.UNREACHABLE):
+            is_down = end is PermitEnd.UNREACHABLE
+            self._health.record_failure(upstream, now, is_down)
+
     def _grant(self, now: float) -> list[PermitAnswer]:
         """Grant all free slots to waiting requests, in their order."""
         answers: list[PermitAnswer] = []
         while len(self._queue):
-            free = {u for u in self._slots if self._count_free(u, now) > 0}
+            free = {u for u in self._list_usable(now) if self._count_free(u, now) > 0}
             if not free:
                 break
             request = self._queue.pop(self._mean_s, now, free)
@@ -210,6 +226,11 @@
             answers.append(self._answer(request, upstream))
         return answers
 
+    def _list_usable(self, now: float) -> list[UpstreamId]:
+        """Return the upstreams that do not fail, or all if all fail."""
+        healthy = [u for u in self._slots if not self._health.is_excluded(u, now)]
+        return healthy or list(self._slots)
+
     def _count_free(self, upstream: UpstreamId, now: float) -> int:
         penalties = [t for t in self._full_until.get(upstream, ()) if t > now]
         if penalties:
@@ -233,7 +254,7 @@
         """Return the expected time until a request is granted, in seconds."""
         free = sum(
             max(0, self._count_free(upstream, now))
-            for upstream in self._slots
+            for upstream in self._list_usable(now)
             if upstream not in request.avoid
         )
         ahead = self._queue.count_ahead(request, self._mean_s, now)
--- a/tests/gateway/permit_fleet.py
+++ b/tests/gateway/permit_fleet.py
@@ -130,7 +130,7 @@
             "deadline": now + deadline_s,
             "objective_at": now + objective_s,
             "is_returning": False,
-            "tried": frozenset(),
+            "avoid": frozenset(),
             "is_caller_disconnected": lambda: False,
         }
         need = PermitNeed(**{**values, **changes})
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -199,6 +199,37 @@
         self.assertEqual(list_granted(pool.advance(0.101)), ["s"])
 
 
+class FailingUpstreamTest(unittest.TestCase):
+    """Guards against a failing upstream that gets all, as it has no permits in use."""
+
+    def run_requests(self, end, now=0.0):
+        """Return how many of 30 requests are granted the failing upstream."""
+        pool, count = make_pool(slots=6, upstreams=UPSTREAMS), 0
+        for number in range(30):
+            answer = pool.ask(make_request(f"r{number}"), now)[0]
+            is_failing = answer.upstream == ONE
+            count += is_failing
+            end_now = end if is_failing else PermitEnd.ANSWERED
+            pool.end(answer.id, end_now, 0.1, now)
+        return count
+
+    def test_refused_connections(self):
+        self.assertEqual(self.run_requests(PermitEnd.UNREACHABLE), 1)
+
+    def test_failed_attempts(self):
+        self.assertEqual(self.run_requests(PermitEnd.FAILED), 3)
+
+    def test_callers_that_leave(self):
+        self.assertEqual(self.run_requests(PermitEnd.CANCELLED), 30)
+
+    def test_all_upstreams_fail(self):
+        pool = make_pool()
+        for number in range(5):
+            answer = pool.ask(make_request(f"r{number}"), 0.0)[0]
+            self.assertEqual(answer.decision, GRANTED)
+            pool.end(answer.id, PermitEnd.UNREACHABLE, 0.0, 0.0)
+
+
 class RefusalTest(unittest.TestCase):
     """Guards against requests that wait in vain."""
 
