--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -38,6 +38,7 @@
     AttemptFailure,
     FirstEvent,
     PartId,
+    PermitEnd,
     Prompt,
     Upstream,
 )
@@ -190,12 +191,13 @@
 
     def finish(self) -> None:
         """End after a complete response; the connection is reused if possible."""
-        if self._end():
+        if self._end(PermitEnd.ANSWERED):
             self._client.record_response(self, self._connection)
 
     def fail(self, failure: ExchangeFailed) -> None:
         """End after a failure; closes the connection."""
-        if self._end():
+        is_full = failure.kind is AttemptFailure.REFUSED
+        if self._end(PermitEnd.FULL if is_full else PermitEnd.FAILED):
             self._connection.close()
             self._client.record_failure(self, failure)
             if failure.kind.may_have_run:
@@ -203,14 +205,14 @@
 
     def cancel(self) -> None:
         """End after a disconnect or a passed deadline; closes the connection."""
-        if self._end():
+        if self._end(PermitEnd.CANCELLED):
             self._connection.close()
             self._client.record_abandoned(self)
 
-    def _end(self) -> bool:
+    def _end(self, end: PermitEnd) -> bool:
         ended, self._ended = self._ended, True
         if not ended:
-            self.selection.active_request.end()
+            self.selection.end(end)
         return not ended
 
 
@@ -269,8 +271,8 @@
                 connection = self._pool.open(upstream.address, remaining_s)
                 self._metrics.count("upstream_connections")
         except OSError as error:
-            selection.active_request.end()
             is_down = isinstance(error, ConnectionRefusedError)
+            selection.end(PermitEnd.UNREACHABLE if is_down else PermitEnd.FAILED)
             self._record_unhealthy(upstream.id, is_down)
             if is_down:
                 self._quarantine.record_refusal(upstream)
