Read the era of the store's responses

The store can come back from an older copy and then names a higher number in Store-Era. The client reads it from each response, 0 without it, and refuses a read whose pages belong to several eras. Entries of upstreams keep their sequence, and the settings bounds.evacuation_ms.

--- a/src/fescueflow/core/identifiers.py
+++ b/src/fescueflow/core/identifiers.py
@@ -14,6 +14,10 @@
 GroupId = NewType("GroupId", str)
 Incarnation = NewType("Incarnation", int)
 Revision = NewType("Revision", int)
+# Counts how often the platform's store came back from a copy.
+StoreEra = NewType("StoreEra", int)
+# Era of a store whose responses name none.
+FIRST_ERA = StoreEra(0)
 SlotId = NewType("SlotId", int)
 ShareIndex = NewType("ShareIndex", int)
 UpstreamRef = NewType("UpstreamRef", int)
@@ -52,6 +56,7 @@
 
 
 __all__ = [
+    "FIRST_ERA",
     "CustomerId",
     "GroupId",
     "Incarnation",
@@ -60,6 +65,7 @@
     "Revision",
     "ShareIndex",
     "SlotId",
+    "StoreEra",
     "UpstreamId",
     "UpstreamRef",
     "ZoneId",
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -35,7 +35,9 @@
     render_list,
 )
 from fescueflow.platform.store import (
+    ERA_MAX,
     STORE_RESPONSE_BYTES_MAX,
+    EraChanged,
     HistoryExpired,
     StoreClient,
     StoreItem,
@@ -70,6 +72,7 @@
 __all__ = [
     "ATTEMPT_ID_HEADER",
     "ATTEMPT_ID_VARIABLE",
+    "ERA_MAX",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "METRICS_PATH",
@@ -91,6 +94,7 @@
     "CallHeaders",
     "ConfigurationClient",
     "Connect",
+    "EraChanged",
     "Headers",
     "HistoryExpired",
     "HttpConfigurationClient",
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -1,5 +1,6 @@
 """Parser of the settings file that the platform writes for each process."""
 
+import math
 import tomllib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
@@ -17,6 +18,9 @@
 # Memory of an instance whose settings don't tell it, in MB: that of the size to design
 # for (docs/CAPACITY.md).
 MEMORY_MB_DEFAULT = 256.0
+# Time within which a withdrawn zone gets no requests any more, in s, of platforms whose
+# settings don't tell it: that of the deployments which have a store with eras.
+EVACUATION_S_DEFAULT = 5.0
 
 
 @dataclass(frozen=True)
@@ -28,7 +32,8 @@
     ``repeat_ratio`` retries per first attempt plus ``repeat_base`` retries for all
     instances together. ``cpu_cores`` is the processor's share in standard cores.
     ``link_mbps`` is the bandwidth of the instance's link, ``memory_mb`` the memory at
-    which its process is killed.
+    which its process is killed. ``evacuation_s`` is the time within which a withdrawn
+    zone gets nothing any more.
     """
 
     instance: InstanceId
@@ -51,6 +56,7 @@
     cpu_cores: float = 1.0
     link_mbps: float = LINK_MBPS_DEFAULT
     memory_mb: float = MEMORY_MB_DEFAULT
+    evacuation_s: float = EVACUATION_S_DEFAULT
 
 
 class DocumentReader:
@@ -164,6 +170,7 @@
         * read_limit(limits, "speed_factor", 1.0),
         link_mbps=read_limit(limits, "link_mbps", LINK_MBPS_DEFAULT),
         memory_mb=read_limit(limits, "memory_limit_mb", MEMORY_MB_DEFAULT),
+        evacuation_s=read_evacuation(document.get("bounds")),
     )
 
 
@@ -182,6 +189,20 @@
         return default
 
 
+def read_evacuation(bounds: Any) -> float:
+    """Return the time within which a withdrawn zone gets nothing any more, in s.
+
+    Notes
+    -----
+    The file need not tell it. Values that would keep a zone withdrawn for ever, or that
+    are no numbers, count as missing.
+    """
+    evacuation_ms = read_limit(bounds, "evacuation_ms", EVACUATION_S_DEFAULT * 1000)
+    return (
+        evacuation_ms / 1000 if math.isfinite(evacuation_ms) else EVACUATION_S_DEFAULT
+    )
+
+
 def load_boot(environment: Mapping[str, str]) -> BootSettings:
     """Return the settings of this process from the file in ``FESCUEFLOW_CONFIG``.
 
--- a/src/fescueflow/platform/documents.py
+++ b/src/fescueflow/platform/documents.py
@@ -162,6 +162,7 @@
         raise MalformedResponse(f"{name!r} can't be an ID")
     cold_ms = get_number(document, "cold_remaining_ms", -math.inf, COLD_MS_MAX)
     started_at_ms = document.get("born", 0)
+    sequence = document.get("sequence", 0)
     return Upstream(
         id=UpstreamId(name),
         service=ServiceId(get_field(document, "service", str)),
@@ -171,6 +172,7 @@
         state=state,
         cold_until=now + cold_ms / 1000 if cold_ms > 0 else 0.0,
         started_at_ms=started_at_ms if isinstance(started_at_ms, int) else 0,
+        sequence=sequence if isinstance(sequence, int) else 0,
     )
 
 
--- a/src/fescueflow/platform/store.py
+++ b/src/fescueflow/platform/store.py
@@ -5,12 +5,13 @@
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from email.message import Message
 from typing import Any
 from urllib.parse import urlencode
 
 import logbook
 
-from fescueflow.core import PlatformUnavailable, Revision
+from fescueflow.core import FIRST_ERA, PlatformUnavailable, Revision, StoreEra
 from fescueflow.platform.http import Connect, Limits, connect_twice, read_url
 from fescueflow.platform.records import MalformedResponse
 
@@ -19,12 +20,44 @@
 # A page holds up to 1 MB of base64 values in addition to keys and numbers.
 STORE_RESPONSE_BYTES_MAX = 4 << 20
 GONE = 410
+# Header of all responses: how often the store came back from a copy; 0 without it.
+ERA_HEADER = "Store-Era"
+# Largest era that is read; eras count restarts of a store.
+ERA_MAX = 1 << 31
 
 log = logbook.Logger("store")
 
 
 class HistoryExpired(PlatformUnavailable):
-    """Raised when the store has discarded changes after the given revision."""
+    """Raised when the store has discarded changes after the given revision.
+
+    Parameters
+    ----------
+    message : str
+    era : StoreEra, optional
+        Era of the response.
+    """
+
+    def __init__(self, message: str, era: StoreEra = FIRST_ERA) -> None:
+        super().__init__(message)
+        self.era = era
+
+
+class EraChanged(PlatformUnavailable):
+    """Raised when a response can't be used because the store's era has changed.
+
+    Parameters
+    ----------
+    era : StoreEra
+        Highest era that was seen.
+    revision : Revision or None
+        Revision of the response of that era, if it is known.
+    """
+
+    def __init__(self, era: StoreEra, revision: Revision | None) -> None:
+        super().__init__(f"the store is in era {era}")
+        self.era = era
+        self.revision = revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,10 +74,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreResult:
-    """Items in the order of the response, and the revision up to which they go."""
+    """Items in the order of the response, and the revision up to which they go.
+
+    The revisions are those of the era.
+    """
 
     items: tuple[StoreItem, ...]
     revision: Revision
+    era: StoreEra = FIRST_ERA
 
 
 class StoreClient:
@@ -73,23 +110,33 @@
     def read(self, prefix: str) -> StoreResult:
         """Return all items whose keys start with the prefix.
 
+        Raises
+        ------
+        EraChanged
+            If the pages belong to several eras.
+        PlatformUnavailable
+
         Notes
         -----
         The revision is that of the first page, so that a watch from it includes
         changes that were made while later pages were read.
         """
         items: list[StoreItem] = []
-        revision: Revision | None = None
+        first: tuple[Revision, StoreEra] | None = None
         after = ""
         for _ in range(READ_PAGES_MAX):
             query = {"prefix": prefix, **({"after": after} if after else {})}
-            response = self._get("/kv-range", query, self._limits)
+            response, era = self._get("/kv-range", query, self._limits)
             page = list(read_items(response.get("entries")))
             items += page
-            if revision is None:
-                revision = read_revision(response)
+            if first is None:
+                first = read_revision(response), era
+            revision, first_era = first
+            if era != first_era:
+                newer = read_revision(response) if era > first_era else revision
+                raise EraChanged(max(era, first_era), newer)
             if not response.get("has_more") or not page:
-                return StoreResult(tuple(items), revision)
+                return StoreResult(tuple(items), revision, era)
             after = page[-1].key
         raise MalformedResponse(f"{prefix}: more than {READ_PAGES_MAX} pages")
 
@@ -109,16 +156,20 @@
             read_timeout_s=self._limits.read_timeout_s + wait_s,
             total_s=self._limits.total_s + wait_s,
         )
-        response = self._get("/kv-watch", query, limits)
+        response, era = self._get("/kv-watch", query, limits)
         return StoreResult(
-            tuple(read_items(response.get("events"))), read_revision(response)
+            tuple(read_items(response.get("events"))), read_revision(response), era
         )
 
-    def _get(self, path: str, query: dict[str, str], limits: Limits) -> dict[str, Any]:
+    def _get(
+        self, path: str, query: dict[str, str], limits: Limits
+    ) -> tuple[dict[str, Any], StoreEra]:
         url = f"{self._url}{path}?{urlencode(query)}"
         response = read_url(url, limits, self._connect)
         if response.status == GONE:
-            raise HistoryExpired(f"{url}: status {response.status}")
+            raise HistoryExpired(
+                f"{url}: status {response.status}", read_era(response.headers)
+            )
         if response.status != 200:
             raise PlatformUnavailable(f"{url}: status {response.status}")
         try:
@@ -127,7 +178,24 @@
             raise MalformedResponse(f"{url}: {error!r}") from error
         if not isinstance(document, dict):
             raise MalformedResponse(f"{url}: not an object")
-        return document
+        return document, read_era(response.headers)
+
+
+def read_era(headers: Message) -> StoreEra:
+    """Return the era that a response names, 0 if it names none.
+
+    Raises
+    ------
+    MalformedResponse
+        If it is not a number, or if there are several. The response may belong to any
+        era then.
+    """
+    values = headers.get_all(ERA_HEADER) or ["0"]
+    text = values[0].strip()
+    is_number = text.isascii() and text.isdecimal() and len(text) <= len(str(ERA_MAX))
+    if len(set(values)) > 1 or not is_number or int(text) > ERA_MAX:
+        raise MalformedResponse(f"{ERA_HEADER} {values!r} is not one number")
+    return StoreEra(int(text))
 
 
 def read_revision(response: dict[str, Any]) -> Revision:
@@ -179,7 +247,9 @@
 
 
 __all__ = [
+    "ERA_MAX",
     "STORE_RESPONSE_BYTES_MAX",
+    "EraChanged",
     "HistoryExpired",
     "StoreClient",
     "StoreItem",
--- a/src/fescueflow/routing/model.py
+++ b/src/fescueflow/routing/model.py
@@ -1,6 +1,6 @@
 """Routing configuration that the operator publishes, and the state of upstreams."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType
 
@@ -126,6 +126,7 @@
     """One server of a service.
 
     ``cold_until`` is a time of this process's monotonic clock, in seconds.
+    ``sequence`` counts the renewals of the entry since the start, 0 if it is not known.
     """
 
     id: UpstreamId
@@ -136,6 +137,7 @@
     state: UpstreamState
     cold_until: float = 0.0
     started_at_ms: int = 0
+    sequence: int = field(default=0, compare=False)
 
 
 __all__ = [
