Keep withdrawals, departures and removals that a copy of the store lacks

A copy that is some seconds old would bring back upstreams that are gone or draining and zones that are withdrawn.

--- a/src/fescueflow/gateway/changes.py
+++ b/src/fescueflow/gateway/changes.py
@@ -106,6 +106,9 @@
             self._platform_state.remove_upstream(name, now)
             log.warning("entry {} ignored: {}", item.key, error)
             raise UnreadableEntries([item.key]) from error
+        if self._platform_state.is_gone(upstream):
+            log.info("entry of an upstream that is gone", extra={"upstream": str(name)})
+            return
         self._platform_state.put_upstream(upstream)
         log.info(
             "upstream listed",
@@ -150,9 +153,9 @@
         """Apply one change."""
         if item.key.startswith(WITHDRAWN_PREFIX):
             zone = ZoneId(item.key.removeprefix(WITHDRAWN_PREFIX))
-            withdrawn = self._platform_state.get_withdrawn_zones()
-            change = withdrawn - {zone} if item.value is None else withdrawn | {zone}
-            self._set_withdrawn_zones(change)
+            listed = self._platform_state.get_listed_zones()
+            change = listed - {zone} if item.value is None else listed | {zone}
+            self._set_withdrawn_zones(change, [zone])
         elif item.key == TABLE_KEY and item.value is not None:
             try:
                 table = parse_table(item.value)
@@ -162,9 +165,12 @@
             accepted = self._platform_state.accept_table(table)
             log.info("configuration {} in force: {}", table.version, accepted)
 
-    def _set_withdrawn_zones(self, zones: Iterable[ZoneId]) -> None:
+    def _set_withdrawn_zones(
+        self, zones: Iterable[ZoneId], written: Iterable[ZoneId] = ()
+    ) -> None:
         before = self._platform_state.get_withdrawn_zones()
-        self._platform_state.set_withdrawn_zones(zones, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._platform_state.set_withdrawn_zones(zones, now, written)
         after = self._platform_state.get_withdrawn_zones()
         if after != before:
             log.info("withdrawn zones: {}", sorted(after))
--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 from fescueflow.core import UpstreamId, ZoneId
+from fescueflow.gateway.era_memory import EraMemory
+from fescueflow.platform.boot import EVACUATION_S_DEFAULT
 from fescueflow.routing import RoutingTable, ServiceId, Upstream, UpstreamState
 
 # Time after an outage of the store within which live upstreams restore their entries;
@@ -24,6 +26,11 @@
 class PlatformState:
     """Latest state read from the store; thread-safe.
 
+    Parameters
+    ----------
+    evacuation_s : float, optional
+        Time for which a withdrawn zone stays so after the store has lost it.
+
     Notes
     -----
     Entries expire during an outage of the store and return together afterwards, so a
@@ -31,7 +38,7 @@
     The highest version of the configuration stays in force whatever is read later.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, evacuation_s: float = EVACUATION_S_DEFAULT) -> None:
         self._lock = threading.Lock()
         self._table: RoutingTable | None = None
         self._upstreams: dict[UpstreamId, Upstream] = {}
@@ -42,7 +49,10 @@
         self._departing: dict[UpstreamId, tuple[int, float]] = {}
         # Upstreams with the time of their start that were ever listed, latest last.
         self._listed_starts: OrderedDict[tuple[UpstreamId, int], None] = OrderedDict()
+        # What the store says, and with the zones that stay withdrawn in a new era.
+        self._listed_zones: frozenset[ZoneId] = frozenset()
         self._withdrawn: frozenset[ZoneId] = frozenset()
+        self._memory = EraMemory(evacuation_s)
         self._grace_until = 0.0
         self._current_at = 0.0
 
@@ -54,6 +64,10 @@
         """Return the zones whose upstreams get no requests."""
         return self._withdrawn
 
+    def get_listed_zones(self) -> frozenset[ZoneId]:
+        """Return the zones that the store says are withdrawn."""
+        return self._listed_zones
+
     def get_age(self, now: float) -> float:
         """Return the seconds since the state was last known to be current."""
         return now - self._current_at
@@ -65,7 +79,14 @@
     def start_recovery_grace(self, now: float) -> None:
         """Start the grace period: the store responds again after an outage."""
         with self._lock:
-            self._grace_until = now + RECOVERY_GRACE_S
+            self._grace_until = max(self._grace_until, now + RECOVERY_GRACE_S)
+
+    def start_era(self, now: float) -> None:
+        """Keep what is known: the store came back from a copy that may lack it."""
+        self.remove_overdue(now)
+        self.start_recovery_grace(now)
+        with self._lock:
+            self._memory.start_era(self._upstreams.values(), self._withdrawn, now)
 
     def accept_table(self, table: RoutingTable) -> bool:
         """Put a configuration in force unless it is outdated; return whether it is."""
@@ -76,9 +97,17 @@
             return True
 
     def set_withdrawn_zones(
-        self, zones: Iterable[ZoneId], now: float
+        self, zones: Iterable[ZoneId], now: float, written: Iterable[ZoneId] = ()
     ) -> frozenset[ZoneId]:
-        """Set the withdrawn zones; return those that were restored.
+        """Set the zones that the store says are withdrawn; return those restored.
+
+        Parameters
+        ----------
+        zones : iterable of ZoneId
+        now : float
+            Monotonic time.
+        written : iterable of ZoneId, optional
+            Zones whose withdrawal or its end was written in this era.
 
         Notes
         -----
@@ -86,16 +115,26 @@
         as cold until the cold time of their service has passed.
         """
         with self._lock:
-            before, self._withdrawn = self._withdrawn, frozenset(zones)
-            restored = before - self._withdrawn
-            for upstream in list(self._upstreams.values()):
-                if upstream.zone in restored:
-                    self._upstreams[upstream.id] = self._mark_cold(upstream, now)
-            return restored
+            self._listed_zones = frozenset(zones)
+            self._memory.release_zones([*self._listed_zones, *written])
+            return self._update_withdrawn(now)
+
+    def _update_withdrawn(self, now: float) -> frozenset[ZoneId]:
+        before = self._withdrawn
+        self._withdrawn = self._listed_zones | self._memory.get_zones()
+        restored = before - self._withdrawn
+        for upstream in list(self._upstreams.values()):
+            if upstream.zone in restored:
+                self._upstreams[upstream.id] = self._mark_cold(upstream, now)
+        return restored
 
     def put_upstream(self, upstream: Upstream) -> Upstream | None:
-        """Store an entry; return the one it replaces."""
+        """Store an entry unless its upstream is gone; return the one it replaces."""
         with self._lock:
+            if self._memory.is_gone(upstream):
+                return None
+            upstream = self._memory.correct(upstream)
+            self._memory.record_listed(upstream)
             self._pending_removals.pop(upstream.id, None)
             before = self._upstreams.get(upstream.id)
             self._upstreams[upstream.id] = upstream
@@ -104,8 +143,14 @@
                 self._listed_starts.popitem(last=False)
             if before and before.started_at_ms != upstream.started_at_ms:
                 self._restarted.add(upstream.id)
+                self._memory.record_removed(before)
             return before
 
+    def is_gone(self, upstream: Upstream) -> bool:
+        """Return whether an entry is an old one, lost before the store's era."""
+        with self._lock:
+            return self._memory.is_gone(upstream)
+
     def has_listed(self, upstream: UpstreamId, started_at_ms: int) -> bool:
         """Return whether this start of an upstream is or was listed."""
         return (upstream, started_at_ms) in self._listed_starts
@@ -144,33 +189,47 @@
             if now < self._grace_until and upstream in self._upstreams:
                 self._pending_removals.setdefault(upstream, self._grace_until)
                 return False
-            self._upstreams.pop(upstream, None)
-            self._pending_removals.pop(upstream, None)
+            self._drop(upstream)
             return True
 
+    def _drop(self, upstream: UpstreamId) -> None:
+        self._pending_removals.pop(upstream, None)
+        removed = self._upstreams.pop(upstream, None)
+        if removed is not None:
+            self._memory.record_removed(removed)
+
     def replace_upstreams(self, upstreams: Iterable[Upstream], now: float) -> None:
         """Replace all upstreams by those of a complete reading."""
-        found = {upstream.id: upstream for upstream in upstreams}
+        found = {u.id: u for u in upstreams if not self.is_gone(u)}
         for upstream in found.values():
             self.put_upstream(upstream)
         for missing in self._upstreams.keys() - found.keys():
             self.remove_upstream(missing, now)
 
     def remove_overdue(self, now: float) -> list[UpstreamId]:
-        """Remove and return upstreams whose entries did not return in time."""
+        """Remove and return upstreams whose entries did not return in time.
+
+        Notes
+        -----
+        Zones whose withdrawal was not written again in time are used again.
+        """
         with self._lock:
+            self._release_zones(now)
             removed = [
                 name for name, until in self._pending_removals.items() if now >= until
             ]
             for name in removed:
-                del self._pending_removals[name]
-                self._upstreams.pop(name, None)
+                self._drop(name)
             return removed
 
+    def _release_zones(self, now: float) -> None:
+        if self._memory.release_overdue(now):
+            self._update_withdrawn(now)
+
     def list_upstreams(self, service: ServiceId, now: float) -> list[Upstream]:
         """Return the upstreams of a service that take new requests."""
-        withdrawn = self._withdrawn
         with self._lock:
+            self._release_zones(now)
             overdue = {
                 name for name, until in self._pending_removals.items() if now >= until
             }
@@ -179,7 +238,7 @@
                 for upstream in self._upstreams.values()
                 if upstream.service == service
                 and upstream.state is UpstreamState.READY
-                and upstream.zone not in withdrawn
+                and upstream.zone not in self._withdrawn
                 and upstream.id not in overdue
                 and not self._is_departing(upstream)
             ]
