Read everything again in a new era of the store

Revisions were compared across a restored copy, so that changes of the new history were taken for old ones. The watch and the updates between instances now compare them within an era only; a higher era makes the instance read all, and a lower one is ignored. Calls of the store and the application of entries move to modules of their own.

--- a/src/fescueflow/gateway/entries.py
+++ b/src/fescueflow/gateway/entries.py
@@ -29,6 +29,10 @@
         self._handlers = handlers
         self._revisions: OrderedDict[str, Revision] = OrderedDict()
 
+    def start_era(self) -> None:
+        """Forget the revisions: the store issues them again for other values."""
+        self._revisions.clear()
+
     def apply(self, items: Iterable[StoreItem]) -> dict[str, bool]:
         """Apply items that are newer than what is known.
 
--- a/src/fescueflow/gateway/missing.py
+++ b/src/fescueflow/gateway/missing.py
@@ -28,6 +28,12 @@
         # Keys of unreadable entries: failed attempts, and the time of the next one.
         self._unreadable: dict[str, tuple[int, float]] = {}
 
+    def start_era(self, revision: Revision) -> None:
+        """Forget all notes, whose revisions are of another era; announce one of it."""
+        self._announced = revision
+        self._keys.clear()
+        self._unreadable.clear()
+
     @property
     def keys(self) -> list[str]:
         """Keys whose values have to be fetched."""
--- a/src/fescueflow/gateway/publication.py
+++ b/src/fescueflow/gateway/publication.py
@@ -5,7 +5,7 @@
 only what that may not hear otherwise.
 """
 
-from fescueflow.core import Revision
+from fescueflow.core import Revision, StoreEra
 from fescueflow.gateway.relay import Role, StoreRelay, StoreUpdate
 from fescueflow.platform import StoreResult
 
@@ -48,6 +48,21 @@
             revision=result.revision,
             age_s=age_s,
             items=None if after is None else result.items,
+            era=result.era,
+        )
+
+    def announce_era(
+        self, era: StoreEra, revision: Revision | None, age_s: float
+    ) -> None:
+        """Tell the others of an era that a response to this instance has named.
+
+        Notes
+        -----
+        Any instance tells it, once: the reader of the zone may be the last to notice.
+        """
+        known = Revision(0) if revision is None else revision
+        self._relay.publish(
+            base=known, revision=known, age_s=age_s, items=None, era=era
         )
 
     def forward(
@@ -77,7 +92,12 @@
         is_reader = self._relay.role is Role.READER
         if has_failed or is_silent or (is_reader and has_advanced):
             self._relay.publish(
-                update.base, update.revision, age_s, update.items, update.omitted
+                update.base,
+                update.revision,
+                age_s,
+                update.items,
+                update.omitted,
+                update.era,
             )
 
 
--- a/src/fescueflow/gateway/relay.py
+++ b/src/fescueflow/gateway/relay.py
@@ -20,16 +20,18 @@
 import logbook
 
 from fescueflow.core import (
+    FIRST_ERA,
     Clock,
     InstanceId,
     RandomSource,
     Revision,
+    StoreEra,
     ZoneId,
     score_candidate,
 )
 from fescueflow.gateway.peers import ACTIVE_AGE_MAX_S, PeerTable
 from fescueflow.gateway.records import PeerRecord
-from fescueflow.platform import StoreItem
+from fescueflow.platform import ERA_MAX, StoreItem
 
 # First byte of the datagrams of this module; reports begin with a zlib header.
 UPDATE_MARK = b"U"
@@ -75,7 +77,8 @@
 
     ``items`` are the changes after ``base`` up to ``revision``, ``None`` if they are
     not included; ``omitted`` are the keys of those whose value is too large to include.
-    ``age_s`` is the time since the state was known to be current.
+    ``age_s`` is the time since the state was known to be current. The revisions are
+    those of the era.
     """
 
     sender: InstanceId
@@ -86,6 +89,7 @@
     age_s: float
     items: tuple[StoreItem, ...] | None = field(default=())
     omitted: tuple[str, ...] = ()
+    era: StoreEra = FIRST_ERA
 
     def continues(self, revision: Revision) -> bool:
         """Return whether the items bring a state of a revision up to the update's.
@@ -105,7 +109,9 @@
     Notes
     -----
     Followers fetch the last value of an omitted key. A series of large configurations
-    is therefore transferred once or twice to each instance, not each of them.
+    is therefore transferred once or twice to each instance, not each of them. Versions
+    that know no eras read only updates without one, which are those of era 0; they
+    could not tell to which era a revision belongs.
     """
     items, omitted = None, set(update.omitted)
     if update.items is not None:
@@ -122,6 +128,8 @@
     ]
     for content in (items, None):
         fields = [*document, content, sorted(omitted)]
+        if update.era:
+            fields.append(update.era)
         text = json.dumps(fields, separators=(",", ":"))
         data = UPDATE_MARK + zlib.compress(text.encode())
         if len(data) <= UPDATE_BYTES_MAX and len(text) <= UPDATE_TEXT_BYTES_MAX:
@@ -144,7 +152,9 @@
         )
         if not decompressor.eof:
             raise ValueError("the update is truncated or too large")
-        sender, zone, role, base, revision, age_s, items, omitted = json.loads(text)
+        sender, zone, role, base, revision, age_s, items, omitted, *rest = json.loads(
+            text
+        )
         update = StoreUpdate(
             InstanceId(str(sender)),
             ZoneId(str(zone)),
@@ -154,7 +164,10 @@
             max(0.0, float(age_s)),
             None if items is None else tuple(map(decode_item, items)),
             tuple(str(key) for key in omitted),
+            StoreEra(int(rest[0])) if rest else FIRST_ERA,
         )
+        if not 0 <= update.era <= ERA_MAX:
+            raise ValueError("the era is out of range")
         if any(not 0 <= i.revision <= update.revision for i in update.items or ()):
             raise ValueError("an item's revision is out of range")
         return update
@@ -320,6 +333,7 @@
         age_s: float,
         items: Iterable[StoreItem] | None,
         omitted: Iterable[str] = (),
+        era: StoreEra = FIRST_ERA,
     ) -> None:
         """Send what this instance knows to the zone, and to other zones' readers."""
         own = self._peers.get_own_record()
@@ -332,6 +346,7 @@
             age_s=age_s,
             items=None if items is None else tuple(items),
             omitted=tuple(omitted),
+            era=era,
         )
         data = encode_update(update)
         for host in [*self._list_zone_hosts(), *self._list_other_readers()]:
--- /dev/null
+++ b/src/fescueflow/gateway/store_calls.py
@@ -0,0 +1,62 @@
+"""Reads and watches of the store, and the time as of which their results hold."""
+
+from fescueflow.core import Clock, Revision
+from fescueflow.metrics import Metrics
+from fescueflow.platform import StoreClient, StoreResult
+
+# Longest wait of a watch call, and the longest silence of the store beyond it. Their
+# sum bounds how long a stalled connection delays changes; it must be well below the
+# time in which a configuration must be in force. After each call, a reader tells the
+# followers that their state is current.
+WATCH_TIMEOUT_S = 0.5
+# Wait of a follower's call, which only asks what has changed.
+CHECK_TIMEOUT_S = 0.05
+READ_TIMEOUT_S = 0.7
+# One watch covers all prefixes, since each call costs the same.
+ALL_PREFIXES = ""
+
+
+class StoreCaller:
+    """Calls the store and counts the calls.
+
+    Parameters
+    ----------
+    client : StoreClient
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(self, client: StoreClient, clock: Clock, metrics: Metrics) -> None:
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+
+    def call(
+        self, revision: Revision | None, is_follower: bool
+    ) -> tuple[StoreResult, float]:
+        """Read all, or wait for the changes after a revision.
+
+        Returns
+        -------
+        result : StoreResult
+        current_at : float
+            Time as of which the result is current. It may have been on its way for
+            long: without changes, the store has waited, otherwise only the start of
+            the call is certain.
+        """
+        started_at = self._clock.monotonic()
+        self._metrics.count("store_calls", kind="read" if revision is None else "watch")
+        if revision is None:
+            return self._client.read(ALL_PREFIXES), started_at
+        wait_s = CHECK_TIMEOUT_S if is_follower else WATCH_TIMEOUT_S
+        result = self._client.watch(ALL_PREFIXES, revision, wait_s)
+        waited_s = 0.0 if result.items else wait_s
+        return result, min(started_at + waited_s, self._clock.monotonic())
+
+    def fetch(self, key: str) -> StoreResult:
+        """Read the last value of a key, among those of keys that begin with it."""
+        self._metrics.count("store_calls", kind="fetch")
+        return self._client.read(key)
+
+
+__all__ = ["READ_TIMEOUT_S", "WATCH_TIMEOUT_S", "StoreCaller"]
--- a/src/fescueflow/gateway/store_logs.py
+++ b/src/fescueflow/gateway/store_logs.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from fescueflow.core import PlatformUnavailable, Revision
+from fescueflow.core import PlatformUnavailable, Revision, StoreEra
 from fescueflow.gateway.missing import MissingChanges
 from fescueflow.platform import OPERATOR_PREFIX, StoreItem
 
@@ -43,6 +43,37 @@
     )
 
 
+def log_era(
+    source: str,
+    before: tuple[StoreEra, Revision | None],
+    after: tuple[StoreEra, Revision | None],
+    age_s: float,
+) -> None:
+    """Log that the store came back from a copy, with the eras and revisions.
+
+    Parameters
+    ----------
+    source : str
+        ``store`` or ``update``: who has told of the era.
+    before, after : tuple of StoreEra and Revision
+        Era and revision of the own state, and those that were told; the latter
+        revision is ``None`` in responses that name none.
+    age_s : float
+        Age of the own state.
+    """
+    log.warning(
+        "store era changed",
+        extra={
+            "source": source,
+            "era_before": before[0],
+            "revision_before": before[1],
+            "era": after[0],
+            "revision": after[1],
+            "belief_age_ms": round(age_s * 1000),
+        },
+    )
+
+
 def log_failed_call(
     error: PlatformUnavailable,
     pause_s: float,
@@ -63,4 +94,4 @@
     )
 
 
-__all__ = ["log_changes", "log_failed_call", "log_gap"]
+__all__ = ["log_changes", "log_era", "log_failed_call", "log_gap"]
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 import logbook
 
@@ -11,11 +11,15 @@
     PlatformUnavailable,
     RandomSource,
     Revision,
+    StoreEra,
 )
+from fescueflow.gateway.applying import EntryApplier
 from fescueflow.gateway.call_pauses import CallPauses
 from fescueflow.gateway.changes import ChangeHandler
 from fescueflow.gateway.confirmation import CURRENT_AGE_MAX_S, StateSource
 from fescueflow.gateway.entries import EntryWriter
+from fescueflow.gateway.era_changes import EraChanges, EraParts
+from fescueflow.gateway.eras import Verdict
 from fescueflow.gateway.missing import MissingChanges
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.publication import UpdatePublisher
@@ -27,26 +31,26 @@
     StoreRelay,
     StoreUpdate,
 )
+from fescueflow.gateway.store_calls import (
+    READ_TIMEOUT_S,
+    WATCH_TIMEOUT_S,
+    StoreCaller,
+)
 from fescueflow.gateway.store_contact import StoreContact
-from fescueflow.gateway.store_logs import log_changes, log_failed_call, log_gap
+from fescueflow.gateway.store_logs import (
+    log_changes,
+    log_failed_call,
+    log_gap,
+)
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
+    EraChanged,
     HistoryExpired,
     StoreClient,
     StoreItem,
     StoreResult,
 )
 
-# Longest wait of a watch call, and the longest silence of the store beyond it. Their
-# sum bounds how long a stalled connection delays changes; it must be well below the
-# time in which a configuration must be in force. After each call, a reader tells the
-# followers that their state is current.
-WATCH_TIMEOUT_S = 0.5
-# Wait of a follower's call, which only asks what has changed.
-CHECK_TIMEOUT_S = 0.05
-READ_TIMEOUT_S = 0.7
-# One watch covers all prefixes, since each call costs the same.
-ALL_PREFIXES = ""
 # Age of the state from which everything is read again instead of the changes since: a
 # series of large configurations takes longer to transfer than the last one alone.
 HISTORY_AGE_MAX_S = 2.5
@@ -95,8 +99,7 @@
         metrics: Metrics,
         relay: StoreRelay | None = None,
     ) -> None:
-        self._client = client
-        self._writer = EntryWriter(handlers)
+        self._caller = StoreCaller(client, clock, metrics)
         self._platform_state = platform_state
         self._clock = clock
         self._random_source = random_source
@@ -110,6 +113,19 @@
         # Guards the revision and the state's changes against those of updates.
         self._lock = threading.RLock()
         self._missing = MissingChanges()
+        self._applier = EntryApplier(EntryWriter(handlers), self._missing, clock)
+        parts = EraParts(
+            lock=self._lock,
+            applier=self._applier,
+            platform_state=platform_state,
+            contact=self._contact,
+            publisher=self._publisher,
+            metrics=metrics,
+            clock=clock,
+            forget_revision=self._forget_revision,
+        )
+        self._era_changes = EraChanges(parts, random_source)
+        self._eras = self._era_changes.eras
         # Set if an update named changes that it did not carry, and at the end.
         self._is_behind = threading.Event()
         # Set if requests wait for a current state, and at the end.
@@ -133,12 +149,12 @@
         self._stopped.set()
         self._is_behind.set()
         self._is_hurried.set()
+        self._eras.entered.set()
 
     def is_current(self) -> bool:
         """Return whether the state is new and lacks no change that is known of."""
         with self._lock:
-            is_complete = self._missing.is_complete(self._revision)
-            return is_complete and self._get_age() <= CURRENT_AGE_MAX_S
+            return self._is_complete() and self._get_age() <= CURRENT_AGE_MAX_S
 
     def is_reachable(self) -> bool:
         """Return whether the last call of the store succeeded."""
@@ -156,10 +172,20 @@
         """Apply what another instance has read, if it continues the own state."""
         if self._relay is None or self._publisher is None:
             return
+        verdict = self._era_changes.hear(update)
+        if verdict is Verdict.DISCARD:
+            return
         self._relay.record_sender(update)
+        if verdict is Verdict.ENTER:
+            self._publisher.forward(
+                update, self._get_age(), True, not self.is_reachable()
+            )
+            return
         with self._lock:
             revision = self._revision
-            if revision is None or update.revision < revision:
+            if revision is None or self._eras.era != update.era:
+                return
+            if update.revision < revision:
                 return
             current_at = self._clock.monotonic() - update.age_s
             self._contact.record_return(current_at)
@@ -181,7 +207,7 @@
             )
 
     def _apply_update(self, update: StoreUpdate) -> None:
-        self._apply(update.items or ())
+        self._applier.apply(update.items or ())
         self._revision = update.revision
         self._metrics.count("store_updates")
         if update.omitted:
@@ -195,14 +221,18 @@
         A follower waits until its state is too old, or until it misses a change.
         """
         try:
+            if delay_s := self._eras.take_delay():
+                self._clock.wait(self._stopped, delay_s)
             if self._is_follower() and not self._wait_until_due():
                 return
             if not self._stopped.is_set():
                 self._is_hurried.clear()
             self._poll()
-        except HistoryExpired:
-            log.info("the store's history is gone, all entries are read again")
-            self._revision = None
+        except HistoryExpired as error:
+            self._handle_lost_history(error)
+        except EraChanged as error:
+            if not self._era_changes.discover(error.era, error.revision):
+                self._record_failure(error)
         except PlatformUnavailable as error:
             self._record_failure(error)
         except Exception as error:  # noqa: BLE001
@@ -211,6 +241,20 @@
             self._revision = None
             self._record_failure(PlatformUnavailable(repr(error)))
 
+    def _handle_lost_history(self, error: HistoryExpired) -> None:
+        if self._eras.is_older(error.era):
+            self._record_failure(error)
+        elif not self._era_changes.discover(error.era, None):
+            log.info("the store's history is gone, all entries are read again")
+            self._revision = None
+
+    def _forget_revision(self) -> Revision | None:
+        """Have everything read again; return how far the state went."""
+        revision, self._revision = self._revision, None
+        self._is_behind.set()
+        self._is_hurried.set()
+        return revision
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             self.run_once()
@@ -224,7 +268,7 @@
         turns away this instance only, it must not call after each update.
         """
         if self._was_hurried:
-            self._clock.wait(self._stopped, delay_s)
+            self._clock.wait(self._eras.entered, delay_s)
             return
         self._is_behind.clear()
         self._was_hurried = self._clock.wait(self._is_behind, delay_s)
@@ -246,10 +290,11 @@
             if not self._has_reason():
                 self._clock.wait(self._is_behind, self._get_remaining_s())
             if not self._has_reason():
-                return self._get_remaining_s() <= 0
+                return self._get_remaining_s() <= 0 and not self._eras.is_unread
         delay_s = self._random_source.uniform(FETCH_DELAY_MIN_S, FETCH_DELAY_MAX_S)
         self._clock.wait(self._is_hurried, delay_s)
-        return self._has_reason() and not self._stopped.is_set()
+        is_free = not self._stopped.is_set() and not self._eras.is_unread
+        return self._has_reason() and is_free
 
     def _has_reason(self) -> bool:
         """Return whether a call should not wait until the state is old."""
@@ -270,26 +315,36 @@
         return due_at - now if retry_s is None else min(due_at - now, retry_s)
 
     def _poll(self) -> None:
+        # Before the revision, which is of this era or gone.
+        era = self._eras.era
         revision = self._revision
         now = self._clock.monotonic()
         behind = self._missing.count_behind(revision)
         if revision is not None and not behind:
             keys = self._missing.keys or self._missing.list_due(now)
             if keys:
-                self._fetch(keys)
+                self._fetch(keys, era)
                 return
         is_fetch = self._misses_changes()
         age_s = self._get_age()
         if behind > HISTORY_CHANGES_MAX or age_s >= HISTORY_AGE_MAX_S:
             revision = None
         noted, reached = self._missing.announced, self._revision
-        result, current_at = self._call(revision)
+        result, current_at = self._caller.call(revision, self._is_follower())
+        if not self._era_changes.accepts(result, era, revision is None):
+            return
+        if result.era != era:
+            # What was known when the call began is of another era.
+            noted, reached = Revision(0), None
         if reached is not None and result.revision < reached:
             # The store never goes back: an update has told a revision that is none.
             log.warning("revision {} does not exist, all is read again", reached)
             self._revision = None
             return
         with self._lock:
+            if self._eras.is_older(result.era):
+                # An update has told of a higher one just now.
+                return
             self._contact.record_response(max(current_at, self._contact.responded_at))
             self._record_success()
             self._accept_result(result, revision)
@@ -302,27 +357,7 @@
             self._read_delay_s = self._relay.draw_read_delay()
             self._publisher.publish(result, revision, self._get_age(), is_fetch)
 
-    def _call(self, revision: Revision | None) -> tuple[StoreResult, float]:
-        """Read all, or wait for the changes after a revision.
-
-        Returns
-        -------
-        result : StoreResult
-        current_at : float
-            Time as of which the result is current. It may have been on its way for
-            long: without changes, the store has waited, otherwise only the start of
-            the call is certain.
-        """
-        started_at = self._clock.monotonic()
-        self._metrics.count("store_calls", kind="read" if revision is None else "watch")
-        if revision is None:
-            return self._client.read(ALL_PREFIXES), started_at
-        wait_s = CHECK_TIMEOUT_S if self._is_follower() else WATCH_TIMEOUT_S
-        result = self._client.watch(ALL_PREFIXES, revision, wait_s)
-        waited_s = 0.0 if result.items else wait_s
-        return result, min(started_at + waited_s, self._clock.monotonic())
-
-    def _fetch(self, keys: Iterable[str]) -> None:
+    def _fetch(self, keys: Iterable[str], era: StoreEra) -> None:
         """Read the last values of keys that updates did not include.
 
         Notes
@@ -331,13 +366,16 @@
         current while a call is on its way.
         """
         for key in keys:
-            self._metrics.count("store_calls", kind="fetch")
             noted = self._missing.get_noted(key)
-            result = self._client.read(key)
+            result = self._caller.fetch(key)
+            if not self._era_changes.accepts(result, era, False):
+                return
             deleted = StoreItem(key, None, result.revision)
             items = [i for i in result.items if i.key == key] or [deleted]
             with self._lock:
-                self._apply(items)
+                if self._eras.is_older(result.era):
+                    return
+                self._applier.apply(items)
                 self._missing.resolve_key(key, max(noted, result.revision))
                 self._record_success()
                 self._mark_current()
@@ -345,9 +383,12 @@
 
     def _mark_current(self) -> None:
         """Record that the whole state is current, unless a change is known to miss."""
-        if self._missing.is_complete(self._revision):
+        if self._is_complete():
             self._platform_state.mark_current(self._contact.responded_at)
 
+    def _is_complete(self) -> bool:
+        return not self._eras.is_unread and self._missing.is_complete(self._revision)
+
     def _record_success(self) -> None:
         self._pauses.record_success()
         self._was_hurried = False
@@ -358,27 +399,13 @@
         """Apply the result of a call; updates may have gone further meanwhile."""
         is_older = self._revision is not None and self._revision > result.revision
         if after is not None:
-            self._apply([i for i in result.items if i.revision or not is_older])
+            self._applier.apply([i for i in result.items if i.revision or not is_older])
         elif not is_older:
-            self._note_readable(self._writer.replace_all(result.items))
-            self._missing.resolve_all(result.revision)
+            self._applier.replace_all(result)
+            self._eras.record_read()
         if not is_older:
             self._revision = result.revision
 
-    def _apply(self, items: Sequence[StoreItem]) -> None:
-        readable = self._writer.apply(items)
-        for item in items:
-            self._missing.resolve_key(item.key, item.revision)
-        self._note_readable(readable)
-
-    def _note_readable(self, readable: Mapping[str, bool]) -> None:
-        now = self._clock.monotonic()
-        for key, is_readable in readable.items():
-            if is_readable:
-                self._missing.record_readable(key)
-            else:
-                self._missing.record_unreadable(key, now)
-
     def _record_failure(self, error: PlatformUnavailable) -> None:
         self._metrics.count("store_failures")
         if self._relay is not None:
@@ -387,7 +414,7 @@
         if self._relay is None or not self._is_follower():
             pause_s = self._pauses.draw_reader_pause()
             self._log_failure(error, pause_s)
-            self._clock.wait(self._stopped, pause_s)
+            self._clock.wait(self._eras.entered, pause_s)
             return
         pause_s = self._pauses.draw_follower_pause(
             self._relay.count_zone(), self._misses_changes()
