Test fleets whose store goes back to a copy

The simulated store has eras and restores copies of a time; the drawn runs can do so among their other faults. An instance passes on an era that it hears from another zone: readers need not know each other, and the test of one instance that sees the era first failed without that.

--- a/src/fescueflow/gateway/publication.py
+++ b/src/fescueflow/gateway/publication.py
@@ -91,14 +91,28 @@
         is_silent = self._relay.is_zone_silent() and self._relay.take_over()
         is_reader = self._relay.role is Role.READER
         if has_failed or is_silent or (is_reader and has_advanced):
-            self._relay.publish(
-                update.base,
-                update.revision,
-                age_s,
-                update.items,
-                update.omitted,
-                update.era,
-            )
+            self._pass_on(update, age_s)
+
+    def forward_era(self, update: StoreUpdate, age_s: float) -> None:
+        """Pass on an update of another zone that has told of a higher era.
+
+        Notes
+        -----
+        Readers need not know each other, so any instance of the zone passes it on, once
+        in an era.
+        """
+        if self._relay.is_from_other_zone(update):
+            self._pass_on(update, age_s)
+
+    def _pass_on(self, update: StoreUpdate, age_s: float) -> None:
+        self._relay.publish(
+            update.base,
+            update.revision,
+            age_s,
+            update.items,
+            update.omitted,
+            update.era,
+        )
 
 
 __all__ = ["UpdatePublisher"]
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -177,9 +177,7 @@
             return
         self._relay.record_sender(update)
         if verdict is Verdict.ENTER:
-            self._publisher.forward(
-                update, self._get_age(), True, not self.is_reachable()
-            )
+            self._publisher.forward_era(update, self._get_age())
             return
         with self._lock:
             revision = self._revision
--- a/tests/gateway/random_store.py
+++ b/tests/gateway/random_store.py
@@ -21,13 +21,18 @@
 
 
 class RandomRun:
-    """One run; ``problems`` lists what was wrong."""
+    """One run; ``problems`` lists what was wrong.
 
-    def __init__(self, seed, per_zone=3):
+    With ``has_eras``, the store goes back to copies of its last seconds.
+    """
+
+    def __init__(self, seed, per_zone=3, has_eras=False):
         self.random = random.Random(seed)
         self.fleet = StoreFleet("abc", per_zone, seed)
         self.fleet.lost_share = LOSS_SHARE
         self.problems = []
+        self._has_eras = has_eras
+        self._started = 1
         # When each instance was last in trouble.
         self._troubled_at = {i.name: 0.0 for i in self.fleet.instances}
         self._versions = dict.fromkeys(self._troubled_at, 0)
@@ -65,6 +70,8 @@
             self._split_pages,
             self._drop_history,
         ]
+        if self._has_eras:
+            actions.append(self._restore)
         self.random.choice(actions)()
 
     def _choose(self):
@@ -79,6 +86,9 @@
     def _put_configuration(self):
         size = self.random.choice([200, 2000, 20_000])
         version = self.fleet.put_configuration(size)
+        self._expect(version)
+
+    def _expect(self, version):
         now = self.fleet.time.now
         self._put.append((now, version))
         self.fleet.time.call_at(now + APPLY_S, self._check_in_force, version, now)
@@ -91,9 +101,13 @@
     def _put_upstream(self):
         if self.random.random() < 0.2:
             self.fleet.delete_upstream()
+            self._started += 1
             return
         more = "x" * self.random.choice([0, 2000])
-        self.fleet.put_upstream(self.random.choice(["ready", "draining"]), more=more)
+        state = self.random.choice(["ready", "draining"])
+        self.fleet.put_upstream(state, more=more, born=self._started)
+        # A start that drains is never ready again.
+        self._started += state == "draining"
 
     def _put_zone(self):
         value = self.random.choice([b"{}", None])
@@ -157,6 +171,26 @@
     def _drop_history(self):
         self.fleet.store.kept_from = self.fleet.store.revision
 
+    def _restore(self):
+        copied_at = self.fleet.time.now - self.random.uniform(0.0, 5.0)
+        lost = self.fleet.store.restore(copied_at)
+        versions = {version for at, version in self._put if at > copied_at}
+        self._put = [entry for entry in self._put if entry[1] not in versions]
+        restored_at = self.fleet.time.now
+        for change in lost:
+            delay_s = self.random.uniform(0.0, 1.5)
+            self.fleet.time.call_later(delay_s, self._write_again, change, restored_at)
+
+    def _write_again(self, change, restored_at):
+        """Repeat a lost change unless its key has been written since."""
+        store = self.fleet.store
+        if any(c.key == change.key and c.at > restored_at for c in store.changes):
+            return
+        if change.key == TABLE_KEY:
+            self._expect(self.fleet.repeat_configuration())
+        else:
+            store.put(change.key, change.value)
+
     def _is_calm(self, instance, since):
         name = instance.name
         return name not in self.fleet.time.frozen and (
@@ -164,6 +198,9 @@
         )
 
     def _check_in_force(self, version, put_at):
+        if (put_at, version) not in self._put:
+            # The store has lost it meanwhile.
+            return
         for instance in self.fleet.instances:
             if self._is_calm(instance, put_at) and instance.get_version() < version:
                 self._report(f"{instance.name} lacks {version} put at {put_at:.2f}")
@@ -198,10 +235,11 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--per-zone", type=int, default=3)
+    parser.add_argument("--eras", action="store_true")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        problems = RandomRun(seed, options.per_zone).run()
+        problems = RandomRun(seed, options.per_zone, options.eras).run()
         failed += bool(problems)
         for problem in problems[:4]:
             print(f"seed {seed}: {problem}", flush=True)
--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -24,6 +24,7 @@
 from fescueflow.platform import (
     TABLE_KEY,
     WITHDRAWN_PREFIX,
+    EraChanged,
     HistoryExpired,
     StoreItem,
     StoreResult,
@@ -64,23 +65,34 @@
     revision: int
     key: str
     value: bytes | None
+    at: float = 0.0
 
 
 class SimulatedStore:
-    """Store with revisions; history before ``kept_from`` is gone."""
+    """Store with revisions of an era; history before ``kept_from`` is gone."""
 
     def __init__(self, time):
         self.time = time
         self.changes = []
         self.revision = 1
         self.kept_from = 0
+        self.era = 0
 
     def put(self, key, value, step=1):
         """Write a value, ``None`` to delete the key; return the revision."""
         self.revision += step
-        self.changes.append(Change(self.revision, key, value))
+        self.changes.append(Change(self.revision, key, value, self.time.now))
         return self.revision
 
+    def restore(self, copied_at):
+        """Go back to a copy of a time; return the last lost change of each key."""
+        lost = {c.key: c for c in self.changes if c.at > copied_at}
+        self.changes = [c for c in self.changes if c.at <= copied_at]
+        self.revision = max([1, *(c.revision for c in self.changes)])
+        self.kept_from = min(self.kept_from, self.revision)
+        self.era += 1
+        return list(lost.values())
+
     def list_after(self, revision):
         """Return the changes after a revision."""
         return [change for change in self.changes if change.revision > revision]
@@ -104,7 +116,7 @@
     """
 
     def __init__(self, store, clock):
-        self._store = store
+        self.store = store
         self._clock = clock
         self.lose = 0
         self.refuse = False
@@ -120,38 +132,44 @@
 
     def read(self, prefix):
         """Return all items below a prefix, read page by page."""
-        items, revision, after = [], None, ""
+        items, revision, after, era = [], None, "", None
         while True:
             self._connect()
-            current = self._store.list_current(prefix)
+            current = self.store.list_current(prefix)
             page = [c for c in current if c.key > after][: self.page_size]
             has_more = any(c.key > page[-1].key for c in current) if page else False
-            at = self._store.revision
+            at, at_era = self.store.revision, self.store.era
             self._answer()
+            era = at_era if era is None else era
+            if at_era != era:
+                raise EraChanged(max(era, at_era), Revision(at))
             items += page
             revision = at if revision is None else revision
             if not has_more:
-                return self._make_result(items, revision)
+                return self._make_result(items, revision, era)
             after = page[-1].key
 
     def watch(self, prefix, after, wait_s):
         """Return the changes after a revision, at the latest after the wait."""
         self._connect()
-        if after < self._store.kept_from:
-            self._answer()
-            raise HistoryExpired("410")
         until = self._clock.monotonic() + wait_s
-        while not self._store.list_after(after):
-            if self._clock.monotonic() >= until:
+        while not self.store.list_after(after):
+            if self._clock.monotonic() >= until or not self._has(after):
                 break
             self._clock.sleep(min(0.01, until - self._clock.monotonic()))
-        changes, at = self._store.list_after(after), self._store.revision
+        changes, at = self.store.list_after(after), self.store.revision
+        era, has_after = self.store.era, self._has(after)
         self._answer()
-        return self._make_result(changes, at)
+        if not has_after:
+            raise HistoryExpired("410", era)
+        return self._make_result(changes, at, era)
+
+    def _has(self, revision):
+        return self.store.kept_from <= revision <= self.store.revision
 
-    def _make_result(self, changes, revision):
+    def _make_result(self, changes, revision, era):
         items = self.spoil([make_item(change) for change in changes])
-        return StoreResult(tuple(items), Revision(revision))
+        return StoreResult(tuple(items), Revision(revision), era)
 
     def _connect(self):
         self.calls += 1
@@ -214,6 +232,7 @@
 
     def describe(self):
         """Return the configuration, upstreams and withdrawn zones in force."""
+        self.state.remove_overdue(self.clock.monotonic())
         zones = {str(zone) for zone in self.state.get_withdrawn_zones()}
         return self.get_version(), self.list_upstreams(), zones
 
@@ -244,20 +263,32 @@
         ]
         self._by_host = {instance.host: instance for instance in self.instances}
         self._version = 0
+        self._sequence = 0
         self.put_configuration()
         self._introduce()
         for instance in self.instances:
             self.time.start(instance.name, instance.follow)
 
+    def add(self, instance):
+        """Start a further instance."""
+        self.instances.append(instance)
+        self._by_host[instance.host] = instance
+        self.time.start(instance.name, instance.follow)
+
     def put_configuration(self, size=4000):
         """Put the next version of the configuration; return it."""
         self._version += 1
+        return self.repeat_configuration(size)
+
+    def repeat_configuration(self, size=4000):
+        """Put the last version of the configuration; return it."""
         value = make_configuration(self._version, size)
         self.store.put(TABLE_KEY, value, step=self.random.randint(1, 3))
         return self._version
 
     def put_upstream(self, state="ready", **fields):
         """Put the entry of an upstream; further fields make it larger."""
+        self._sequence += 1
         entry = {
             "service": ENGINES,
             "address": "127.0.0.1:1",
@@ -266,6 +297,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "born": 1,
+            "sequence": self._sequence,
             **fields,
         }
         return self.store.put(UPSTREAM_KEY, json.dumps(entry).encode())
