Describe the eras of the store and log each entry of one

The line names both eras and revisions. A 410 names no revision, so it is then written when all has been read; written at once, as first done, it had none in every instance of the test's fleet.

Tested: tests.gateway.test_store_eras, test_watching, test_overtaken_answers, test_imports, tests.platform.test_boot pass.

--- a/src/fescueflow/gateway/era_changes.py
+++ b/src/fescueflow/gateway/era_changes.py
@@ -46,6 +46,8 @@
     def __init__(self, parts: EraParts, random_source: RandomSource) -> None:
         self._parts = parts
         self.eras = StoreEras(parts.clock, random_source)
+        # What is logged of an era whose revision is not known before all is read.
+        self._unlogged: tuple[str, tuple[StoreEra, Revision | None]] | None = None
 
     def hear(self, update: StoreUpdate) -> Verdict:
         """Enter the era of an update if it is higher; return what to do with it."""
@@ -58,7 +60,8 @@
             self._parts.contact.record_return(
                 self._parts.clock.monotonic() - update.age_s
             )
-            self._enter(update.era, update.revision, is_heard=True)
+            # An instance that has got a 410 knows no revision.
+            self._enter(update.era, update.revision or None, is_heard=True)
             return Verdict.ENTER
 
     def discover(self, era: StoreEra, revision: Revision | None) -> bool:
@@ -97,15 +100,31 @@
             )
         return verdict is Verdict.APPLY
 
+    def record_read(self, revision: Revision) -> None:
+        """Note that everything was read in the known era, up to a revision."""
+        self.eras.record_read()
+        self._log(revision)
+
     def _enter(self, era: StoreEra, revision: Revision | None, is_heard: bool) -> None:
+        self._log(None)
         before = self.eras.era, self._parts.forget_revision()
-        source = "update" if is_heard else "store"
-        log_era(source, before, (era, revision), self._get_age())
+        self._unlogged = "update" if is_heard else "store", before
         self._parts.metrics.count("store_eras")
         self._parts.applier.start_era(Revision(0) if revision is None else revision)
         self._parts.platform_state.start_era(self._parts.clock.monotonic())
         # Last, since it wakes the thread that calls the store.
         self.eras.enter(era, is_heard)
+        if revision is not None:
+            self._log(revision)
+
+    def _log(self, revision: Revision | None) -> None:
+        if self._unlogged is None:
+            return
+        source, before = self._unlogged
+        self._unlogged = None
+        # An era that does not exist may have been left meanwhile.
+        if self.eras.era > before[0]:
+            log_era(source, before, (self.eras.era, revision), self._get_age())
 
     def _get_age(self) -> float:
         return self._parts.clock.monotonic() - self._parts.contact.responded_at
--- a/src/fescueflow/gateway/store_logs.py
+++ b/src/fescueflow/gateway/store_logs.py
@@ -56,8 +56,8 @@
     source : str
         ``store`` or ``update``: who has told of the era.
     before, after : tuple of StoreEra and Revision
-        Era and revision of the own state, and those that were told; the latter
-        revision is ``None`` in responses that name none.
+        Era and revision of the own state, and those that were told or read; the latter
+        revision is ``None`` if a further era followed before all was read.
     age_s : float
         Age of the own state.
     """
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -400,7 +400,7 @@
             self._applier.apply([i for i in result.items if i.revision or not is_older])
         elif not is_older:
             self._applier.replace_all(result)
-            self._eras.record_read()
+            self._era_changes.record_read(result.revision)
         if not is_older:
             self._revision = result.revision
 
--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -206,6 +206,7 @@
             random_source=SeededRandomSource(seed),
         )
         self.client = SimulatedClient(fleet.store, self.clock)
+        self.metrics = Metrics()
         self.watcher = StoreWatcher(
             client=self.client,
             handlers=[
@@ -216,7 +217,7 @@
             heartbeat_s=HEARTBEAT_S,
             clock=self.clock,
             random_source=SeededRandomSource(seed),
-            metrics=Metrics(),
+            metrics=self.metrics,
             relay=self.relay,
         )
 
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import logbook
+
 from fescueflow.core import InstanceId, Revision, StoreEra, ZoneId
 from fescueflow.gateway.eras import READ_DELAY_MAX_S, UNCONFIRMED_MAX_S
 from fescueflow.gateway.relay import Role, StoreUpdate, decode_update, encode_update
@@ -200,6 +202,22 @@
             self.fleet.run(0.1)
             self.assertEqual(self.fleet.find_outdated(version), [])
 
+    def test_each_instance_logs_and_counts_an_era_once(self):
+        revisions = {i.watcher.revision for i in self.fleet.instances}
+        with logbook.TestHandler() as handler:
+            handler.push_application()
+            self.addCleanup(handler.pop_application)
+            self.restore()
+            self.fleet.run(APPLY_S)
+        lines = [r for r in handler.records if r.message == "store era changed"]
+        self.assertEqual(len(lines), len(self.fleet.instances))
+        for line in lines:
+            self.assertEqual((line.extra["era_before"], line.extra["era"]), (0, 1))
+            self.assertGreater(line.extra["revision_before"], max(revisions))
+            self.assertEqual(line.extra["revision"], max(revisions))
+        for instance in self.fleet.instances:
+            self.assertEqual(instance.metrics.get_count("store_eras"), 1)
+
     def make_update(self, era, revision):
         """Return an update of a reader that continues any state."""
         return StoreUpdate(
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -18,6 +18,14 @@
         self.assertEqual((boot.server_heartbeat_s, boot.grace_s), (1.2, 8.0))
         self.assertEqual(boot.peer_port, 7001)
 
+    def test_evacuation_time(self):
+        """Guards against a zone that stays withdrawn for ever by an odd setting."""
+        self.assertEqual(parse_boot(render_boot()).evacuation_s, 5.0)
+        for value, expected in ("4000", 4.0), ("nan", 5.0), ("inf", 5.0), ('"x"', 5.0):
+            text = f"ttl_max_s = 5\nevacuation_ms = {value}"
+            boot = parse_boot(render_boot().replace("ttl_max_s = 5", text))
+            self.assertEqual(boot.evacuation_s, expected)
+
     def test_all_problems_at_once(self):
         text = render_boot(callers=0).replace('zone = "a"', "zone = 3")
         text = text.replace("ttl_max_s = 5", "")
