--- a/src/fescueflow/gateway/store_calls.py
+++ b/src/fescueflow/gateway/store_calls.py
@@ -1,6 +1,8 @@
 """Reads and watches of the store, and the time as of which their results hold."""
 
-from fescueflow.core import Clock, Revision
+from fescueflow.core import Clock, Revision, StoreEra
+from fescueflow.gateway.shared_values import SharedValues
+from fescueflow.gateway.value_reader import ValueSource
 from fescueflow.metrics import Metrics
 from fescueflow.platform import StoreClient, StoreResult
 
@@ -24,9 +26,22 @@
     client : StoreClient
     clock : Clock
     metrics : Metrics
+    values : ValueSource, optional
+        Has large values apart from the store.
+    shared : SharedValues, optional
+        Gets the values that are read, to serve them to other instances.
     """
 
-    def __init__(self, client: StoreClient, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        client: StoreClient,
+        clock: Clock,
+        metrics: Metrics,
+        values: ValueSource | None = None,
+        shared: SharedValues | None = None,
+    ) -> None:
+        self._values = values
+        self._shared = shared
         self._client = client
         self._clock = clock
         self._metrics = metrics
@@ -47,16 +62,40 @@
         started_at = self._clock.monotonic()
         self._metrics.count("store_calls", kind="read" if revision is None else "watch")
         if revision is None:
-            return self._client.read(ALL_PREFIXES), started_at
+            return self._share(self._client.read(ALL_PREFIXES)), started_at
         wait_s = CHECK_TIMEOUT_S if is_follower else WATCH_TIMEOUT_S
-        result = self._client.watch(ALL_PREFIXES, revision, wait_s)
+        result = self._share(self._client.watch(ALL_PREFIXES, revision, wait_s))
         waited_s = 0.0 if result.items else wait_s
         return result, min(started_at + waited_s, self._clock.monotonic())
 
     def fetch(self, key: str) -> StoreResult:
         """Read the last value of a key, among those of keys that begin with it."""
         self._metrics.count("store_calls", kind="fetch")
-        return self._client.read(key)
+        return self._share(self._client.read(key))
+
+    def read_shared(
+        self, key: str, noted: Revision, era: StoreEra
+    ) -> StoreResult | None:
+        """Return a value that another instance has, ``None`` without it.
+
+        Parameters
+        ----------
+        key : str
+        noted : Revision
+            Revision of the key's last change that is known of.
+        era : StoreEra
+        """
+        if self._values is None:
+            return None
+        item = self._values.read(key, noted, era)
+        if item is None:
+            return None
+        return self._share(StoreResult((item,), item.revision, era))
+
+    def _share(self, result: StoreResult) -> StoreResult:
+        if self._shared is not None:
+            self._shared.record(result.items, result.era)
+        return result
 
 
 __all__ = ["READ_TIMEOUT_S", "WATCH_TIMEOUT_S", "StoreCaller"]
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -31,6 +31,7 @@
     StoreRelay,
     StoreUpdate,
 )
+from fescueflow.gateway.shared_values import SharedValues
 from fescueflow.gateway.store_calls import (
     READ_TIMEOUT_S,
     WATCH_TIMEOUT_S,
@@ -42,6 +43,7 @@
     log_failed_call,
     log_gap,
 )
+from fescueflow.gateway.value_reader import ValueSource
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
     EraChanged,
@@ -81,6 +83,8 @@
     metrics : Metrics
     relay : StoreRelay, optional
         Without one, this instance always reads the store itself.
+    values : ValueSource, optional
+    shared : SharedValues, optional
 
     Notes
     -----
@@ -98,8 +102,10 @@
         random_source: RandomSource,
         metrics: Metrics,
         relay: StoreRelay | None = None,
+        values: ValueSource | None = None,
+        shared: SharedValues | None = None,
     ) -> None:
-        self._caller = StoreCaller(client, clock, metrics)
+        self._caller = StoreCaller(client, clock, metrics, values, shared)
         self._platform_state = platform_state
         self._clock = clock
         self._random_source = random_source
@@ -365,7 +371,8 @@
         """
         for key in keys:
             noted = self._missing.get_noted(key)
-            result = self._caller.fetch(key)
+            shared = self._caller.read_shared(key, noted, era)
+            result = shared or self._caller.fetch(key)
             if not self._era_changes.accepts(result, era, False):
                 return
             deleted = StoreItem(key, None, result.revision)
@@ -375,7 +382,8 @@
                     return
                 self._applier.apply(items)
                 self._missing.resolve_key(key, max(noted, result.revision))
-                self._record_success()
+                if shared is None:
+                    self._record_success()
                 self._mark_current()
             log_changes("fetch", result.revision, items)
 
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -25,6 +25,7 @@
     Limits,
     connect_directly,
     connect_twice,
+    read_url,
 )
 from fescueflow.platform.records import (
     ListedInstance,
@@ -124,6 +125,7 @@
     "parse_upstream_load",
     "parse_upstream_percent",
     "read_call_headers",
+    "read_url",
     "render_list",
     "select_response_headers",
 ]
