--- a/src/fescueflow/gateway/loads.py
+++ b/src/fescueflow/gateway/loads.py
@@ -4,14 +4,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
-from fescueflow.core import InstanceId, UpstreamId, ZoneId
+from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.gateway.counts import CountTracker, CountUpdate
-from fescueflow.gateway.zone_loads import (
-    ZONE_AGE_MAX_S,
-    ZoneLoads,
-    ZoneLoadTable,
-    add_loads,
-)
 from fescueflow.routing import (
     LoadReport,
     ServiceId,
@@ -28,7 +22,6 @@
 # Mean duration assumed before any request has ended: that of a short, unstreamed
 # response.
 DURATION_DEFAULT_S = 0.1
-NO_ZONE = ZoneId("")
 
 
 @dataclass
@@ -44,7 +37,6 @@
     """Loads that another instance has reported."""
 
     received_at: float
-    zone: ZoneId | None = None
     loads: Mapping[UpstreamId, tuple[int, int]] = field(default_factory=dict)
 
 
@@ -78,17 +70,9 @@
 
 
 class LoadTracker:
-    """Loads of this instance and of others, and counts reported by upstreams.
-
-    Parameters
-    ----------
-    zone : ZoneId, optional
-        Zone of this instance.
-    """
+    """Loads of this instance and of others, and counts reported by upstreams."""
 
-    def __init__(self, zone: ZoneId = NO_ZONE) -> None:
-        self._zone = zone
-        self._zone_loads = ZoneLoadTable(zone)
+    def __init__(self) -> None:
         self._lock = threading.Lock()
         self._own: dict[UpstreamId, OwnLoad] = {}
         self._peers: dict[InstanceId, PeerLoads] = {}
@@ -128,48 +112,10 @@
         peer: InstanceId,
         loads: Mapping[UpstreamId, tuple[int, int]],
         now: float,
-        zone: ZoneId | None = None,
     ) -> None:
         """Store the loads that another instance reported."""
         with self._lock:
-            self._peers[peer] = PeerLoads(now, zone, loads)
-
-    def merge_zones(
-        self, sums: Iterable[ZoneLoads], sender_zone: ZoneId, now: float
-    ) -> None:
-        """Store the sums of zones that a reader reported.
-
-        Notes
-        -----
-        A reader of another zone knows this zone only from this zone's reader.
-        """
-        is_near = sender_zone == self._zone
-        with self._lock:
-            self._zone_loads.merge(
-                (s for s in sums if is_near or s.zone == sender_zone), now
-            )
-
-    def record_published(
-        self, loads: Mapping[UpstreamId, tuple[int, int]], now: float
-    ) -> None:
-        """Note the own loads of a report that is being sent."""
-        with self._lock:
-            self._zone_loads.record_published(loads, now)
-
-    def add_up_zones(self, now: float) -> list[ZoneLoads]:
-        """Return the sum of the own zone, and those of others as far as known."""
-        own = self.list_own_loads()
-        with self._lock:
-            entries = [
-                entry
-                for entry in self._peers.values()
-                if entry.zone == self._zone
-                and now - entry.received_at <= ZONE_AGE_MAX_S
-            ]
-            sums = [s for s in self._zone_loads.list_sums(now) if s.zone != self._zone]
-        ages = [0.0, *(now - entry.received_at for entry in entries)]
-        loads = add_loads([own, *(entry.loads for entry in entries)])
-        return [ZoneLoads(self._zone, sum(ages) / len(ages), loads), *sums]
+            self._peers[peer] = PeerLoads(now, loads)
 
     def record_count(
         self, upstream: UpstreamId, count: int, now: float, is_high: bool
@@ -237,13 +183,10 @@
             for peer in list(self._peers):
                 if now - self._peers[peer].received_at > age_max_s:
                     del self._peers[peer]
-            zones = self._zone_loads.list_others(now)
             reports = [
                 LoadReport(max(0.0, now - entry.received_at), entry.loads)
                 for entry in self._peers.values()
-                if entry.zone not in zones
             ]
-            reports += zones.values()
             counts = {name: self._counts.find(name, now) for name in names}
         ages = [report.age_s for report in reports]
         report_age_s = sum(ages) / len(ages) if ages else None
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -115,7 +115,7 @@
         self._departure = Departure(clock)
         self._stopped = threading.Event()
         self._platform_state = PlatformState(boot.evacuation_s)
-        self._loads = LoadTracker(boot.zone)
+        self._loads = LoadTracker()
         self._pool = ConnectionPool(clock)
         self._peers = PeerTable(make_own_record(boot, clock, random_source))
         self._selector = UpstreamSelector(
--- a/src/fescueflow/gateway/report_codec.py
+++ b/src/fescueflow/gateway/report_codec.py
@@ -22,7 +22,6 @@
 )
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.speed_codec import decode_speeds, encode_speeds
-from fescueflow.gateway.zone_loads import ZoneLoads
 from fescueflow.routing import HolderUpdate, LimitUpdate, ServiceId, SpeedUpdate
 
 # Uncompressed size of a report; several times the largest one.
@@ -44,7 +43,6 @@
     counts: list[CountUpdate] = field(default_factory=list)
     quarantine: QuarantineReport = QuarantineReport()
     limits: list[LimitUpdate] = field(default_factory=list)
-    zone_loads: list[ZoneLoads] = field(default_factory=list)
     speeds: list[SpeedUpdate] = field(default_factory=list)
 
 
@@ -76,7 +74,6 @@
         ],
         **encode_quarantine(report.quarantine),
         **encode_limits(report.limits),
-        **encode_zone_loads(report.zone_loads),
         **encode_speeds(report.speeds),
     }
     return compress_report(json.dumps(document, separators=(",", ":")).encode())
@@ -143,7 +140,13 @@
                 capacity=decode_number(capacity),
                 rate=decode_number(rate),
             )
-        loads = decode_loads(document["loads"])
+        loads = {
+            UpstreamId(decode_name(name)): (
+                decode_count(running),
+                decode_count(tokens),
+            )
+            for name, (running, tokens) in document["loads"].items()
+        }
         holder_updates = [decode_holder(entry) for entry in document["holders"]]
         # Earlier versions send no counts.
         counts = [
@@ -156,10 +159,6 @@
         ]
         quarantine = decode_quarantine(document)
         limits = decode_limits(document)
-        zone_loads = [
-            ZoneLoads(ZoneId(decode_name(z)), decode_number(age_s), decode_loads(entry))
-            for z, age_s, entry in document.get("zones", [])
-        ]
         speeds = decode_speeds(document)
     except (
         ArithmeticError,
@@ -172,25 +171,10 @@
     if not records:
         raise ValueError("the report names no instance")
     return PeerReport(
-        records, loads, holder_updates, counts, quarantine, limits, zone_loads, speeds
+        records, loads, holder_updates, counts, quarantine, limits, speeds
     )
 
 
-def encode_zone_loads(sums: list[ZoneLoads]) -> dict[str, Any]:
-    """Return the field with the loads of zones; none without any."""
-    if not sums:
-        return {}
-    return {"zones": [[s.zone, round(max(0.0, s.age_s), 2), s.loads] for s in sums]}
-
-
-def decode_loads(entry: Any) -> dict[UpstreamId, tuple[int, int]]:
-    """Return running requests and waiting tokens by upstream."""
-    return {
-        UpstreamId(decode_name(name)): (decode_count(running), decode_count(tokens))
-        for name, (running, tokens) in entry.items()
-    }
-
-
 def decode_holder(entry: Any) -> HolderUpdate:
     """Return the holder of a prefix that was encoded as a list.
 
--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -7,7 +7,7 @@
 import logbook
 
 from fescueflow.core import Clock
-from fescueflow.gateway.active_set import REQUESTS_PER_INSTANCE, RateMeter
+from fescueflow.gateway.active_set import RateMeter
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.quarantine import PromptQuarantine
@@ -97,32 +97,17 @@
         self._selector.limits.record_published(own.rate)
         is_full = self._has_new_peer or own.sequence % CRASH_FULL_REPORTS == 1
         known = [r for r in self._list_known(now) if r.instance != own.instance]
-        loads = self._loads.list_own_loads()
-        self._loads.record_published(loads, now)
         report = PeerReport(
             records=[own, *known],
-            loads=loads,
+            loads=self._loads.list_own_loads(),
             holder_updates=self._selector.take_holder_updates(),
             counts=self._loads.list_counts(now),
             quarantine=self._quarantine.make_report(is_full),
             limits=self._selector.limits.take_updates(),
-            zone_loads=self._loads.add_up_zones(now) if self._tells_zones(now) else [],
             speeds=self._selector.speeds.take_updates(now),
         )
         return encode_report(report, now)
 
-    def _tells_zones(self, now: float) -> bool:
-        """Return whether this instance tells others the loads of its zone.
-
-        Notes
-        -----
-        In a large fleet, all instances of a zone report to its reader. One whose link
-        limits it could not send the sums to all of them.
-        """
-        is_wide = self._peers.get_own_record().capacity >= REQUESTS_PER_INSTANCE
-        is_reader = self._relay.role is Role.READER
-        return is_wide and is_reader and self._peers.is_large(now)
-
     def _list_known(self, now: float) -> list[PeerRecord]:
         """Return the instances that the next report lists.
 
@@ -171,8 +156,7 @@
                 self._has_new_peer = True
                 self._selector.announce_all_holders()
         if not is_outdated:
-            self._loads.set_peer_loads(sender.instance, report.loads, now, sender.zone)
-            self._loads.merge_zones(report.zone_loads, sender.zone, now)
+            self._loads.set_peer_loads(sender.instance, report.loads, now)
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
         self._selector.merge_limits(report.limits)
