Choose second sources among users of a prefix that take requests

A prompt without a shared part got a source, cold upstreams could be named, and the candidates were hashed a second time in a function of its own. Change: the known users come first, by the table's order and age limit; then hashing over warm upstreams. Prompts without a key get none. Result: tests.routing.test_holders and tests.gateway.test_copies pass.

--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -29,6 +29,7 @@
     Upstream,
     UpstreamHealth,
     decide_admission,
+    find_holder,
     is_copy_worthwhile,
     measure_balance,
     rank_isolated,
@@ -314,7 +315,7 @@
             passage = self._gate.choose(in_time, service, priority, now)
             chosen = passage.placement
             upstream = chosen.candidate.upstream
-            source = self._choose_source(prompt, upstream, sources, usable)
+            source = self._choose_source(prompt, upstream, sources, usable, now)
             self._holders.record_use(service, prompt.key, upstream.id, listed, now)
             active_request = self._loads.start(
                 upstream.id, service, chosen.prefill_tokens, now
@@ -426,17 +427,32 @@
         upstream: Upstream,
         sources: list[Upstream],
         usable: list[Upstream],
+        now: float,
     ) -> Upstream | None:
-        """Return the upstream from which the selected one copies what it lacks."""
-        if not is_copy_worthwhile(prompt, self._get_copy_rate(upstream.service)):
+        """Return the upstream from which the selected one copies what it lacks.
+
+        Notes
+        -----
+        A presumed holder may have evicted the prefix, or another instance may have
+        moved it. Without another known user, the prefix is most likely at the next
+        upstream of its rendezvous order; a cold one has none.
+        """
+        rate = self._get_copy_rate(upstream.service)
+        if not prompt.key or not is_copy_worthwhile(prompt, rate):
             return None
         if sources and all(source.id != upstream.id for source in sources):
             return sources[0]
-        others = {u.id: u for u in usable if not self._health.has_failed(u.id)}
-        name = self._holders.find_second_source(
-            prompt.key, frozenset(others), upstream.id
-        )
-        return others[name] if name is not None else None
+        others = [
+            u
+            for u in usable
+            if u.id != upstream.id
+            and u.cold_until <= now
+            and not self._health.has_failed(u.id)
+        ]
+        names = {u.id for u in others}
+        users = (source.id for source in sources if source.id in names)
+        name = next(users, None) or find_holder(prompt.key, others)
+        return next((u for u in others if u.id == name), None)
 
     def _get_copy_rate(self, service: ServiceId) -> float:
         table = self._platform_state.get_table()
--- a/src/fescueflow/routing/holders.py
+++ b/src/fescueflow/routing/holders.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from fescueflow.core import UpstreamId, choose_candidate
+from fescueflow.core import UpstreamId
 from fescueflow.routing.model import ServiceId, Upstream
 from fescueflow.routing.placement import find_holder
 
@@ -110,33 +110,6 @@
         sources = usable & used_at.keys()
         return sorted(sources, key=lambda name: (-used_at[name], name))
 
-    def find_second_source(
-        self, key: str, usable: frozenset[UpstreamId], chosen: UpstreamId
-    ) -> UpstreamId | None:
-        """Return the upstream that a presumed holder copies from if it lacks a prefix.
-
-        Parameters
-        ----------
-        key : str
-        usable : frozenset of UpstreamId
-            Upstreams that respond.
-        chosen : UpstreamId
-            The presumed holder, to which the request is sent.
-
-        Notes
-        -----
-        A holder that has been replaced under load, or that another instance has used
-        without this one knowing, is not told from one that still caches the prefix.
-        Another user of the prefix goes before the first in its rendezvous order.
-        """
-        prefix = self._prefixes.get(key)
-        used_at = prefix.used_at if prefix else {}
-        others = usable - {chosen}
-        if users := others & used_at.keys():
-            return max(users, key=lambda name: (used_at[name], name))
-        first = choose_candidate(key, [str(name) for name in sorted(others)])
-        return None if first is None else UpstreamId(first)
-
     def record_use(
         self,
         service: ServiceId,
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -50,6 +50,14 @@
         _, headers, _ = self.upstreams[index].arrivals[-1]
         self.assertEqual(headers["Kv-Fetch"], other.address)
 
+    def test_prompt_without_a_shared_part_has_no_source(self):
+        sent = {"X-Prefix-Hash": ":5000,e4:10", "X-Token-Count": "5010,80"}
+        self.assertEqual(self.call("/stream/1", headers=sent)[0], 200)
+        for upstream in self.upstreams:
+            for _, headers, _ in upstream.arrivals:
+                if headers["X-Prefix-Hash"] == sent["X-Prefix-Hash"]:
+                    self.assertNotIn("Kv-Fetch", headers)
+
     def test_restarted_upstream_is_not_a_copy_source(self):
         holder = self.upstreams[self.find_holder()]
         other = self.upstreams[1 - self.find_holder()]
