Test permits between two gateways over datagrams

Cause: the tests with simulated time do not pass through the processes' sockets. Change: one test with two gateways on loopback; the called host of the test base class can be changed. Tested: tests.gateway.test_permits.TwoGatewaysTest, 1 s, pass.

--- a/tests/gateway/gateway_case.py
+++ b/tests/gateway/gateway_case.py
@@ -54,6 +54,8 @@
 
     # Grace period; only tests of a leaving instance need a longer one.
     grace_s = 0.4
+    # Instance that is called.
+    host = "127.0.0.1"
 
     def setUp(self):
         self.store = FakeStore()
@@ -91,7 +93,7 @@
     def call(self, target, method="POST", body=b"question", headers=None):
         """Return status, headers and body of one request."""
         connection = http.client.HTTPConnection(
-            "127.0.0.1", self.ports["callers"], timeout=WAIT_S
+            self.host, self.ports["callers"], timeout=WAIT_S
         )
         sent = {
             "Host": "fleet.example",
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -1,21 +1,30 @@
 """Tests of permits between instances, with failures of instances and links."""
 
 import json
+import time
 import unittest
 from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fescueflow.core import Outcome, Overloaded
+from fescueflow.core import (
+    Outcome,
+    Overloaded,
+    SeededRandomSource,
+    SystemClock,
+)
+from fescueflow.gateway import Gateway
 from fescueflow.gateway.coordinators import UNANSWERED_PAUSE_S
 from fescueflow.gateway.permit_codec import PERMIT_MARK, decode_permit
 from fescueflow.gateway.permits import ANSWER_TIMEOUT_S, QUEUE_CHECK_S, Permit
 from fescueflow.gateway.relay import decode_update
 from fescueflow.routing import CallerDisconnected, PermitEnd
+from tests.gateway.builders import make_boot
 from tests.gateway.gateway_case import GatewayTestCase
 from tests.gateway.permit_fleet import ONE_WAY_S, SLOTS, PermitFleet
 from tests.routing.builders import BOOKINGS
+from tests.standins.fleet import find_free_port
 
 # An unanswered request waits for the time-out and the usual delay, at most this long.
 UNANSWERED_MAX_S = ANSWER_TIMEOUT_S + 0.05
@@ -373,5 +382,50 @@
         self.check_returned()
 
 
+class TwoGatewaysTest(GatewayTestCase):
+    """Guards against messages that the processes do not pass on to each other."""
+
+    def test_permits_over_datagrams(self):
+        names = ("callers", "ready", "directory")
+        ports = {name: find_free_port("127.0.0.2") for name in names}
+        boot = make_boot(
+            name="edge-b-1",
+            ip="127.0.0.2",
+            store=self.store.port,
+            peer_port=self.ports["peer_port"],
+            seeds=json.dumps([f"127.0.0.1:{self.ports['peer_port']}"]),
+            grace_s=self.grace_s,
+            **ports,
+        )
+        other = Gateway(boot, SystemClock(), SeededRandomSource(2))
+        with mock.patch(
+            "fescueflow.gateway.coordinators.is_coordinated", lambda *_: True
+        ):
+            other.start()
+            self.addCleanup(other.leave)
+            both = (self.gateway, other)
+
+            def find_all():
+                now = time.monotonic()
+                return [g._permits.coordinators.find("engines", now) for g in both]
+
+            self.wait_for(lambda: all(find_all()))
+            self.wait_for(lambda: len({r.instance for r in find_all()}) == 1)
+            coordinator = find_all()[0].instance
+            asking = other if coordinator == "edge-a-1" else self.gateway
+            granting = self.gateway if asking is other else other
+            host, _, port = asking._boot.callers_address.rpartition(":")
+            self.host, self.ports["callers"] = host, int(port)
+            self.wait_for(
+                lambda: (
+                    self.call("/once/1")[0] == 200
+                    and asking._metrics.get_count("permits", end="granted") > 5
+                )
+            )
+            pool = granting._permits.desk.get_pool("engines")
+            self.wait_for(lambda: not any(map(pool.count_in_use, ("u1", "u2"))))
+            self.assertIsNone(asking._permits.desk.get_pool("engines"))
+
+
 if __name__ == "__main__":
     unittest.main()
