Tell a reset during the request from the end of the response

Cause: a reset is reported once. `send_request` met it in a write and dropped it, so that the connection then ended for reads as if the upstream had closed it, and the part of a response without length or chunks counted as whole.

Change: a failed write is kept. If it failed with anything but EPIPE (which says that the upstream had closed its direction before), the end of the connection is not the end of a response. The rest of a request is sent while the response is read, unless the response is unsuccessful: before, an upstream that responded or sent an interim response early never got the rest.

Seen before the change, with a writer that is held between two writes until the reset has arrived: test_part_of_an_unmarked_answer_and_a_reset_during_the_upload AssertionError: 200 != 502 (/once/1 and /single/1, body b'id: 1\ndata: part 1\n\n').

--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -1,4 +1,9 @@
-"""HTTP exchange with an upstream: one request and its response."""
+"""HTTP exchange with an upstream: one request and its response.
+
+Load pattern: an upstream responds while the request is still being sent, then closes
+or resets the connection. A reset is reported once, to a read or to a write; after one
+that a write has met, the connection ends for reads as if the upstream had closed it.
+"""
 
 import http.client
 import re
@@ -24,6 +29,9 @@
 OVERRUN_MAX_S = 0.2
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 BODY_BYTES_MAX = 16 << 20
+# From this status on, an upstream that responds early does not want the rest of the
+# request (RFC 9112, section 9.5); sending it could destroy the response on its way.
+UNSUCCESSFUL_STATUS_MIN = 300
 
 
 class ExchangeFailed(FescueflowError):
@@ -116,14 +124,21 @@
         self._head_reader: HeadReader | None = None
         # Bytes of the body that arrived with the head.
         self._early_body = b""
-        self._is_request_sent = False
+        # Rest of the request; ``None`` before it is sent.
+        self._unsent: memoryview | None = None
+        self._send_error: OSError | None = None
         self._response: http.client.HTTPResponse | None = None
         self._decoder: ChunkDecoder | None = None
         self._remaining_bytes: int | None = None
         self._has_trailing_bytes = False
 
     def send_request(self, data: bytes, deadline: float) -> None:
-        """Send the request; stop early if the upstream responds before its end.
+        """Send the request; return early if the upstream responds before its end.
+
+        Notes
+        -----
+        The rest is sent while the response is read, as the upstream may need it: after
+        an interim response, or for a success that it began early.
 
         Raises
         ------
@@ -132,24 +147,15 @@
         CallerDisconnected
             If the caller disconnects.
         """
-        both = select.poll()
-        both.register(self._socket, select.POLLIN | select.POLLOUT)
-        view = memoryview(data)
+        self._unsent = memoryview(data)
         self._socket.settimeout(0.0)
-        while view:
-            try:
-                view = view[self._socket.send(view) :]
-                continue
-            except BlockingIOError:
-                pass
-            except OSError:
-                # The upstream may have responded before it closed.
-                return
-            ready = both.poll(CALLER_CHECK_INTERVAL_S * 1000)
-            if any(event & select.POLLIN for _, event in ready):
+        self._send_more()
+        while self._unsent and self._send_error is None:
+            ready = self._poll.poll(CALLER_CHECK_INTERVAL_S * 1000)
+            if any(event & ~select.POLLOUT for _, event in ready):
                 return
             self._check_time(deadline)
-        self._is_request_sent = True
+            self._send_more()
 
     def read_head(self, deadline: float, attempt_id: str, head_deadline: float) -> None:
         """Read status and headers, and check that they belong to this request.
@@ -180,6 +186,8 @@
         response = self._response = self._receive_head(remainder_deadline)
         self.status = response.status
         self.headers = response.getheaders()
+        if self.status >= UNSUCCESSFUL_STATUS_MIN:
+            self._stop_sending()
         echo = response.getheader(ATTEMPT_ID_HEADER)
         if echo is None and not self._connection.is_new:
             # It may be a late copy of the response to an earlier request.
@@ -291,7 +299,9 @@
         response = self._response
         reusable = (
             self.is_complete
-            and self._is_request_sent
+            and self._unsent is not None
+            and not self._unsent
+            and self._send_error is None
             and not self._has_trailing_bytes
             and response is not None
             and not response.will_close
@@ -322,11 +332,43 @@
         while True:
             self._wait(deadline)
             try:
-                return self._socket.recv(READ_SIZE_BYTES)
+                data = self._socket.recv(READ_SIZE_BYTES)
             except BlockingIOError:
                 continue
             except OSError as error:
                 raise ConnectionLost(repr(error)) from error
+            if not data and self._is_reset:
+                raise ConnectionLost(f"{self._send_error!r} during the request")
+            return data
+
+    @property
+    def _is_reset(self) -> bool:
+        """Whether a write has met the end of a connection that was not closed.
+
+        Notes
+        -----
+        A write fails with EPIPE if the upstream had closed its direction before: what
+        arrived is then all that it sent. Otherwise the write fails with ECONNRESET, or
+        with ETIMEDOUT when the connection is given up.
+        """
+        error = self._send_error
+        return error is not None and not isinstance(error, BrokenPipeError)
+
+    def _send_more(self) -> None:
+        """Send as much of the rest of the request as the connection takes now."""
+        try:
+            while self._unsent:
+                self._unsent = self._unsent[self._socket.send(self._unsent) :]
+        except BlockingIOError:
+            self._poll.modify(self._socket, select.POLLIN | select.POLLOUT)
+            return
+        except OSError as error:
+            # The upstream may have responded before it closed the connection.
+            self._send_error = error
+        self._poll.modify(self._socket, select.POLLIN)
+
+    def _stop_sending(self) -> None:
+        self._poll.modify(self._socket, select.POLLIN)
 
     def _decode(self, data: bytes) -> Iterator[bytes]:
         if self._decoder is not None:
@@ -355,6 +397,10 @@
     def _wait(self, deadline: float) -> None:
         """Wait for data; fail after the deadline even if data keeps arriving.
 
+        Notes
+        -----
+        The rest of the request is sent meanwhile.
+
         Raises
         ------
         ExchangeFailed
@@ -377,6 +423,9 @@
             ready = self._poll.poll(
                 max(0.0, min(CALLER_CHECK_INTERVAL_S, remaining_s)) * 1000
             )
+            if any(event & select.POLLOUT for _, event in ready):
+                self._send_more()
+                ready = [found for found in ready if found[1] & ~select.POLLOUT]
             if ready:
                 if any(descriptor != self._socket.fileno() for descriptor, _ in ready):
                     raise OtherResponded("the watched exchange goes on")
--- a/tests/gateway/fake_servers.py
+++ b/tests/gateway/fake_servers.py
@@ -90,9 +90,12 @@
     """Upstream with scripted behavior.
 
     ``script`` is called with the handler of each request for this upstream; requests
-    for another one get status 421.
+    for another one get status 421. With ``reads_body`` false, the script reads the body
+    itself.
     """
 
+    reads_body = True
+
     def __init__(self, name, script):
         self.name = name
         self.script = script
@@ -135,7 +138,7 @@
 
             def do_POST(self):
                 length = int(self.headers.get("Content-Length", 0))
-                self.body = self.rfile.read(length)
+                self.body = self.rfile.read(length) if upstream.reads_body else b""
                 if self.headers["X-Expect-Instance"] != upstream.name:
                     upstream.misdirected += 1
                     echo = [("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))]
