Refuse heads that do not say clearly what ends their response

Cause: `http.client` reads statuses such as 101, 999, +200 and 2_00, and takes a length or a transfer coding that it cannot read for none, so that a cut response looks complete. The pattern of interim responses matched status 1000. Status 000, 99, letters and none were refused already.

Change: the status line, the length, the coding and the header lines are checked; a response that fails is broken. A response to HEAD that names chunks has no body.

--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -194,7 +194,8 @@
             raise ExchangeFailed(AttemptFailure.BROKEN, "response without an ID")
         if echo is not None and echo != attempt_id:
             raise ExchangeFailed(AttemptFailure.BROKEN, "response to another request")
-        if response.chunked:
+        # Responses without a body, such as those to HEAD, have length 0.
+        if response.chunked and response.length is None:
             self._decoder = ChunkDecoder()
         else:
             self._remaining_bytes = response.length
--- a/src/fescueflow/http1/heads.py
+++ b/src/fescueflow/http1/heads.py
@@ -9,8 +9,16 @@
 HEAD_BYTES_MAX = 65536
 STATUS_LINE_PREFIX = b"HTTP/"
 HEAD_END_PATTERN = re.compile(rb"\r?\n\r?\n")
+# ``http.client`` also reads statuses such as "+200", "2_00" and 999.
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
 # 1xx responses except 101, which ends HTTP on the connection.
-INTERIM_PATTERN = re.compile(rb"HTTP/1\.[0-9] 1(?!01)[0-9][0-9]")
+INTERIM_PATTERN = re.compile(rb"HTTP/1\.[0-9] 1(?!01)")
+# 101 responds to a request for another protocol, which is never made.
+SWITCHING_STATUS = 101
+# ``http.client`` takes it for the end of a line: a part of a value becomes a header.
+BARE_CR_PATTERN = re.compile(rb"\r(?!\n)")
+# Any length of fewer digits is below the size of a disk.
+LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
 
 
 class HeadSocket:
@@ -70,6 +78,8 @@
             if found is None:
                 return None
             head, self.unused_data = self.unused_data[:size], self.unused_data[size:]
+            if not STATUS_LINE_PATTERN.match(head):
+                raise http.client.BadStatusLine(repr(head[:40]))
             if not INTERIM_PATTERN.match(head):
                 return parse_head(head, self._method)
             self._interim_bytes += size
@@ -83,10 +93,37 @@
     http.client.HTTPException
         If the head is malformed.
     """
+    if BARE_CR_PATTERN.search(head):
+        raise http.client.HTTPException("a carriage return inside a line")
     source = HeadSocket(head)
     response = http.client.HTTPResponse(source, method=method)  # type: ignore[arg-type]
     response.begin()
+    if response.status == SWITCHING_STATUS:
+        raise http.client.BadStatusLine("101 without a request for it")
+    check_framing(response)
     return response
 
 
+def check_framing(response: http.client.HTTPResponse) -> None:
+    """Check that the headers say unmistakably where the body ends.
+
+    Raises
+    ------
+    http.client.HTTPException
+        If they don't. ``http.client`` then takes the end of the connection for that of
+        the body, so that a cut body would look complete.
+    """
+    message = response.msg
+    if message.defects or not all(message.keys()):
+        raise http.client.HTTPException("malformed header")
+    codings = message.get_all("Transfer-Encoding", [])
+    if codings:
+        if len(codings) > 1 or not response.chunked:
+            raise http.client.UnknownTransferEncoding(repr(codings)[:80])
+        return
+    lengths = {length.strip(" \t") for length in message.get_all("Content-Length", [])}
+    if len(lengths) > 1 or not all(map(LENGTH_PATTERN.fullmatch, lengths)):
+        raise http.client.HTTPException(f"lengths {sorted(lengths)!r:.80}")
+
+
 __all__ = ["HeadReader"]
--- a/tests/http1/test_heads.py
+++ b/tests/http1/test_heads.py
@@ -9,6 +9,7 @@
 from fescueflow.http1 import HeadReader
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 4\r\n\r\n"
+LENGTHS = ("abc", "-1", "+4", "4_0", "4, 4", "4, 5", "0x4", "4.0", "", "9" * 30)
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 
 
@@ -37,6 +38,49 @@
             with self.assertRaises(http.client.HTTPException):
                 HeadReader().feed(data)
 
+    def check_refused(self, data):
+        with self.subTest(data=data), self.assertRaises(http.client.HTTPException):
+            HeadReader().feed(data)
+
+    def test_statuses_that_http_does_not_have(self):
+        """An upstream in trouble sent 000; 1000 passed for an interim response."""
+        statuses = "000 99 1000 20 2000 +200 0200 2_00 600 999 101 abc 20x -20".split()
+        for status in ("", " ", " 200", *statuses):
+            self.check_refused(f"HTTP/1.1 {status} OK\r\n\r\n".encode())
+            self.check_refused(f"HTTP/1.1 {status}\r\n\r\n".encode())
+        for line in (b"HTTP/1.1", b"HTTP/1.1200 OK", b"HTTP/2.0 200 OK"):
+            self.check_refused(line + b"\r\n\r\n")
+        for status in (200, 204, 302, 404, 502, 599):
+            for end in ("", " ", " Some reason"):
+                line = f"HTTP/1.1 {status}{end}\r\n\r\n".encode()
+                self.assertEqual(HeadReader().feed(line).status, status)
+
+    def test_lengths_that_cannot_be_read(self):
+        """Without them, the end of the connection would end the body, cut or not."""
+        for fields in (
+            *[f"Content-Length: {length}" for length in LENGTHS],
+            "Content-Length: 4\r\nContent-Length: 5",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: identity",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "no field\r\nContent-Length: 4",
+            ": no name\r\nContent-Length: 4",
+            "X-One: 1\rX-Two: 2",
+        ):
+            self.check_refused(f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\n".encode())
+
+    def test_lengths_that_can_be_read(self):
+        for fields, length, is_chunked in (
+            ("Content-Length: 4 ", 4, False),
+            ("Content-Length: 4\r\nContent-Length: 4", 4, False),
+            ("Transfer-Encoding: Chunked", None, True),
+            ("Transfer-Encoding: chunked\r\nContent-Length: 4", None, True),
+            ("X-One: 1", None, False),
+        ):
+            head = f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\n".encode()
+            response = HeadReader().feed(head)
+            self.assertEqual((response.length, response.chunked), (length, is_chunked))
+
     def test_head_without_end(self):
         reader = HeadReader()
         reader.feed(b"HTTP/1.1 200 OK\r\n")
