Ramp up upstreams that start or recover by how they respond

Cause: an upstream that has started or come back is the cheapest one for all instances at once, and is flooded; or it gets the configured cold rate for a fixed time, however fast it responds.

Change: each instance limits its own open requests at such an upstream. Placements whose allowance is used up come after the others that are within the bound on imbalance. Services without a start or recovery are not affected.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -41,6 +41,8 @@
 ESTIMATE_TOLERANCE_REQUESTS = 3.0
 
 UNAVAILABLE_STATUS = 503
+# Lowest status that says nothing of how fast the upstream responds.
+SERVER_ERROR_MIN = 500
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
@@ -264,6 +266,9 @@
         except OSError as error:
             selection.active_request.end()
             is_down = isinstance(error, ConnectionRefusedError)
+            self._selector.ramps.record_trouble(
+                upstream.id, AttemptFailure.NOT_SENT.value, self._clock.monotonic()
+            )
             self._record_unhealthy(upstream.id, is_down)
             if is_down:
                 self._quarantine.record_refusal(upstream)
@@ -370,6 +375,14 @@
 
     def record_begun(self, attempt: Attempt) -> None:
         """Record that an answer has begun."""
+        if attempt.exchange.status < SERVER_ERROR_MIN:
+            seconds = self._clock.monotonic() - attempt.started_at
+            self._selector.ramps.record_begun(
+                attempt.selection.upstream,
+                attempt.selection.placement.prefill_tokens,
+                seconds,
+                attempt.started_at,
+            )
         self._quarantine.record_begun(
             attempt.selection.upstream, attempt.prompt.shared_parts, attempt.started_at
         )
@@ -431,11 +444,14 @@
 
     def record_silence(self, attempt: Attempt) -> None:
         """Record the first silence of an attempt."""
+        self._record_trouble(attempt, AttemptFailure.TIMED_OUT)
         self._record_unhealthy(attempt.selection.upstream.id)
 
     def record_failure(self, attempt: Attempt, failure: ExchangeFailed) -> None:
         """Record a failed attempt."""
         upstream = attempt.selection.upstream.id
+        if failure.kind is not AttemptFailure.MISDIRECTED:
+            self._record_trouble(attempt, failure.kind)
         if failure.kind is AttemptFailure.MISDIRECTED:
             self._selector.mark_replaced(upstream)
             log.warning("upstream replaced", extra={"upstream": str(upstream)})
@@ -447,6 +463,10 @@
             self._record_lost(attempt)
         self._metrics.count("attempts", end=failure.kind.value)
 
+    def _record_trouble(self, attempt: Attempt, kind: AttemptFailure) -> None:
+        upstream = attempt.selection.upstream.id
+        self._selector.ramps.record_trouble(upstream, kind.value, attempt.started_at)
+
     def _record_lost(self, attempt: Attempt) -> None:
         """Record a crash if the upstream of a lost connection takes no new one.
 
--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -38,6 +38,9 @@
         self._pending_removals: dict[UpstreamId, float] = {}
         # Upstreams that have restarted with the same id.
         self._restarted: set[UpstreamId] = set()
+        # Upstreams that were listed with a new start, or may be cold for longer.
+        self._started: set[tuple[UpstreamId, int]] = set()
+        self._cooled: set[UpstreamId] = set()
         # Upstreams that announced their departure: their start, time of the news.
         self._departing: dict[UpstreamId, tuple[int, float]] = {}
         # Upstreams with the time of their start that were ever listed, latest last.
@@ -90,6 +93,7 @@
             restored = before - self._withdrawn
             for upstream in list(self._upstreams.values()):
                 if upstream.zone in restored:
+                    self._cooled.add(upstream.id)
                     self._upstreams[upstream.id] = self._mark_cold(upstream, now)
             return restored
 
@@ -99,6 +103,10 @@
             self._pending_removals.pop(upstream.id, None)
             before = self._upstreams.get(upstream.id)
             self._upstreams[upstream.id] = upstream
+            if (upstream.id, upstream.started_at_ms) not in self._listed_starts:
+                self._started.add((upstream.id, upstream.started_at_ms))
+            if upstream.cold_until:
+                self._cooled.add(upstream.id)
             self._listed_starts[upstream.id, upstream.started_at_ms] = None
             if len(self._listed_starts) > STARTS_MAX:
                 self._listed_starts.popitem(last=False)
@@ -138,6 +146,27 @@
             restarted, self._restarted = self._restarted, set()
             return restarted
 
+    def pop_started(self) -> list[Upstream]:
+        """Return the upstreams whose start was first listed since the last call."""
+        if not self._started:
+            return []
+        with self._lock:
+            started, self._started = self._started, set()
+            known = self._upstreams
+            return [
+                known[name]
+                for name, at_ms in started
+                if name in known and known[name].started_at_ms == at_ms
+            ]
+
+    def pop_cooled(self) -> list[Upstream]:
+        """Return the upstreams that were listed as cold since the last call."""
+        if not self._cooled:
+            return []
+        with self._lock:
+            cooled, self._cooled = self._cooled, set()
+            return [self._upstreams[name] for name in cooled if name in self._upstreams]
+
     def remove_upstream(self, upstream: UpstreamId, now: float) -> bool:
         """Remove an upstream; return whether the removal takes effect at once."""
         with self._lock:
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -345,6 +345,7 @@
             log.info("upstreams restarted: {}", sorted(restarted))
             self._selector.retain(names - restarted)
         self._selector.retain(names)
+        self._selector.ramps.retain(names)
         self._client.retain(names)
         self._pool.close_stale({upstream.address for upstream in kept})
 
--- /dev/null
+++ b/src/fescueflow/gateway/ramps.py
@@ -0,0 +1,291 @@
+"""Ramps of upstreams that have started or recovered, as this instance sees them."""
+
+import threading
+from collections.abc import Mapping, Sequence
+
+import logbook
+
+from fescueflow.core import Clock, InstanceId, UpstreamId
+from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.platform_state import PlatformState
+from fescueflow.metrics import Metrics
+from fescueflow.routing import (
+    BalanceBound,
+    FirstEventTimes,
+    Placement,
+    Ramp,
+    RampCause,
+    RampEnd,
+    Upstream,
+    UpstreamRamps,
+    is_slow,
+)
+
+# Age up to which an upstream that is listed for the first time has just started, in
+# seconds: a few times what its entry and the change of it take. An older one was only
+# unknown to this instance.
+START_AGE_MAX_S = 10.0
+
+log = logbook.Logger("ramps")
+
+
+class RampTracker:
+    """Begins, cuts and ends ramps; thread-safe.
+
+    Parameters
+    ----------
+    own : InstanceId
+    platform_state : PlatformState
+    peers : PeerTable
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        *,
+        own: InstanceId,
+        platform_state: PlatformState,
+        peers: PeerTable,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._platform_state = platform_state
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._ramps = UpstreamRamps(f"ramp {own}")
+        self._times = FirstEventTimes()
+        # When a reason not to use an upstream fully will end.
+        self._awaited: dict[tuple[UpstreamId, RampCause], float] = {}
+
+    def await_end(self, upstream: UpstreamId, cause: RampCause, until: float) -> None:
+        """Begin a ramp at the end of an exclusion, a pause or a cold period."""
+        with self._lock:
+            self._awaited[upstream, cause] = until
+
+    def end_exclusion(self, upstream: UpstreamId) -> None:
+        """Note that an excluded upstream has responded."""
+        if self._awaited:
+            with self._lock:
+                key = (upstream, RampCause.EXCLUSION)
+                if key in self._awaited:
+                    self._awaited[key] = self._clock.monotonic()
+
+    def defer(
+        self,
+        placements: list[Placement],
+        bound: BalanceBound,
+        limited: frozenset[UpstreamId],
+        service_size: int,
+        duration_s: float,
+        now: float,
+    ) -> list[Placement]:
+        """Return the placements, those whose allowance is used up after the others.
+
+        Parameters
+        ----------
+        placements : list of Placement
+            In the order of preference.
+        bound : BalanceBound
+        limited : frozenset of UpstreamId
+            Upstreams that the bound does not hold for.
+        service_size : int
+            Upstreams over which the mean of the bound is taken.
+        duration_s : float
+            Mean duration of the service's requests.
+        now : float
+
+        Notes
+        -----
+        An upstream above the bound on imbalance is no alternative to one in its ramp.
+        If all are in their ramp, or no other is left, the ramp is ignored.
+        """
+        with self._lock:
+            self._begin_due(now)
+            if not len(self._ramps):
+                return placements
+            self._end_elapsed(now)
+            used_up = self._find_used_up(
+                placements, bound, service_size, duration_s, now
+            )
+        if not used_up:
+            return placements
+        self._metrics.count("ramp_deferrals")
+        return defer_used_up(placements, used_up, bound, limited)
+
+    def _find_used_up(
+        self,
+        placements: list[Placement],
+        bound: BalanceBound,
+        service_size: int,
+        duration_s: float,
+        now: float,
+    ) -> set[UpstreamId]:
+        """Return the upstreams that get no further request of this instance now."""
+        instances = self._peers.count_carrying(now)
+        demand = bound.mean * service_size / instances
+        used_up = set()
+        for placement in placements:
+            upstream = placement.candidate.upstream.id
+            ramp = self._ramps.find(upstream)
+            if ramp is None:
+                continue
+            ramp.share = bound.mean / instances
+            own_running = placement.candidate.load.own_running
+            if not self._ramps.has_room(upstream, own_running, demand, duration_s, now):
+                used_up.add(upstream)
+        return used_up
+
+    def record_begun(
+        self, upstream: Upstream, tokens: int, seconds: float, sent_at: float
+    ) -> None:
+        """Record the first event of a response.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        tokens : int
+            Prompt tokens that the upstream had to read.
+        seconds : float
+            Time from sending the request to the first event.
+        sent_at : float
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            ramp = self._ramps.find(upstream.id)
+            if ramp is None:
+                self._times.record(upstream.service, tokens, seconds, now)
+                return
+            usual_s, age_s = self._times.find(upstream.service, tokens, now) or (
+                None,
+                None,
+            )
+            inputs = {
+                "first_event_ms": round(seconds * 1000),
+                "usual_ms": None if usual_s is None else round(usual_s * 1000),
+                "usual_age_ms": None if age_s is None else round(age_s * 1000),
+            }
+            if is_slow(seconds, usual_s):
+                self._cut(upstream.id, "slow", sent_at, now, inputs)
+            elif self._ramps.record_good(upstream.id, sent_at):
+                self._end(upstream.id, RampEnd.REACHED, now, inputs)
+
+    def record_trouble(self, upstream: UpstreamId, reason: str, sent_at: float) -> None:
+        """Record a refusal, a silence or another failure of an attempt."""
+        if len(self._ramps):
+            with self._lock:
+                self._cut(upstream, reason, sent_at, self._clock.monotonic(), {})
+
+    def retain(self, kept: set[UpstreamId]) -> None:
+        """Forget upstreams that are not in ``kept``."""
+        with self._lock:
+            now = self._clock.monotonic()
+            for upstream in set(self._ramps.list_names()) - kept:
+                self._end(upstream, RampEnd.GONE, now, {})
+            self._awaited = {k: t for k, t in self._awaited.items() if k[0] in kept}
+
+    def _begin_due(self, now: float) -> None:
+        """Begin the ramps of upstreams that have started, or recovered by now."""
+        for upstream in self._platform_state.pop_started():
+            age_s = self._clock.wall_time() - upstream.started_at_ms / 1000
+            if abs(age_s) <= START_AGE_MAX_S:
+                self._begin(upstream, RampCause.START, now)
+        for upstream in self._platform_state.pop_cooled():
+            if upstream.cold_until > now:
+                self._awaited[upstream.id, RampCause.COLD] = upstream.cold_until
+        if not self._awaited:
+            return
+        due = [key for key, until in self._awaited.items() if until <= now]
+        if due:
+            listed = {u.id: u for u in self._platform_state.list_all()}
+            for key in due:
+                del self._awaited[key]
+                if key[0] in listed:
+                    self._begin(listed[key[0]], key[1], now)
+
+    def _begin(self, upstream: Upstream, cause: RampCause, now: float) -> None:
+        if self._ramps.find(upstream.id) is not None:
+            self._end(upstream.id, RampEnd.REPLACED, now, {})
+        instances = self._peers.count_carrying(now)
+        ramp = self._ramps.begin(
+            upstream.id, upstream.service, cause, upstream.slots, instances, now
+        )
+        self._log("begin", upstream.id, ramp, now, {"instances": instances})
+
+    def _cut(
+        self,
+        upstream: UpstreamId,
+        reason: str,
+        sent_at: float,
+        now: float,
+        inputs: Mapping[str, int | None],
+    ) -> None:
+        ramp = self._ramps.find(upstream)
+        if ramp is not None and self._ramps.record_bad(upstream, sent_at, now):
+            self._log("cut", upstream, ramp, now, {"reason": reason, **inputs})
+
+    def _end_elapsed(self, now: float) -> None:
+        for upstream in self._ramps.list_elapsed(now):
+            self._end(upstream, RampEnd.ELAPSED, now, {})
+
+    def _end(
+        self,
+        upstream: UpstreamId,
+        end: RampEnd,
+        now: float,
+        inputs: Mapping[str, int | None],
+    ) -> None:
+        ramp = self._ramps.find(upstream)
+        if ramp is not None:
+            self._ramps.end(upstream)
+            self._metrics.count("upstream_ramps", end=end.value)
+            self._log("end", upstream, ramp, now, {"reason": end.value, **inputs})
+
+    def _log(
+        self,
+        event: str,
+        upstream: UpstreamId,
+        ramp: Ramp,
+        now: float,
+        inputs: Mapping[str, int | str | None],
+    ) -> None:
+        log.info(
+            "ramp",
+            extra={
+                "event": event,
+                "upstream": str(upstream),
+                "service": str(ramp.service),
+                "cause": ramp.cause.value,
+                "allowance": round(ramp.allowance, 3),
+                "share": round(ramp.share, 3),
+                "ramp_ms": round((now - ramp.began_at) * 1000),
+                **inputs,
+            },
+        )
+
+
+def defer_used_up(
+    placements: Sequence[Placement],
+    used_up: set[UpstreamId],
+    bound: BalanceBound,
+    limited: frozenset[UpstreamId] = frozenset(),
+) -> list[Placement]:
+    """Return placements with those that are used up after the others.
+
+    Notes
+    -----
+    Those that would exceed the bound on imbalance stay behind, as ``rank_placements``
+    has put them; among them, the used-up ones are last, too.
+    """
+
+    def order(placement: Placement) -> tuple[bool, bool]:
+        upstream = placement.candidate.upstream.id
+        is_over = placement.candidate.load.running + 1 > bound.limit
+        return is_over and upstream not in limited, upstream in used_up
+
+    return sorted(placements, key=order)
+
+
+__all__ = ["RampTracker", "defer_used_up"]
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -9,6 +9,7 @@
 from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.peers import REPORT_INTERVAL_S, PeerTable
 from fescueflow.gateway.platform_state import EXPIRY_HEARTBEATS, PlatformState
+from fescueflow.gateway.ramps import RampTracker
 from fescueflow.gateway.rate_gate import RETRY_AFTER_MS, RateGate
 from fescueflow.gateway.rotation import count_reports_per_round
 from fescueflow.gateway.selected import Selection
@@ -22,6 +23,7 @@
     LimitUpdate,
     Placement,
     Prompt,
+    RampCause,
     RetryBudget,
     ServiceId,
     Upstream,
@@ -73,6 +75,13 @@
         self.limits = UpstreamLimits(
             own=boot.instance, peers=peers, clock=clock, metrics=metrics
         )
+        self.ramps = RampTracker(
+            own=boot.instance,
+            platform_state=platform_state,
+            peers=peers,
+            clock=clock,
+            metrics=metrics,
+        )
         self._gate = RateGate(
             own=boot.instance,
             platform_state=platform_state,
@@ -114,12 +123,16 @@
         """Record a response of an upstream."""
         with self._lock:
             self._health.record_success(upstream)
+            self.ramps.end_exclusion(upstream)
 
     def record_failure(self, upstream: UpstreamId, is_down: bool = False) -> bool:
         """Record a failed attempt; return whether the upstream is now excluded."""
         with self._lock:
             now = self._clock.monotonic()
-            return self._health.record_failure(upstream, now, is_down)
+            is_excluded = self._health.record_failure(upstream, now, is_down)
+            if is_excluded:
+                self._await_exclusion_end(upstream)
+            return is_excluded
 
     def mark_crashed(self, upstreams: Iterable[UpstreamId]) -> None:
         """Exclude upstreams that others saw crash until they are tried again."""
@@ -127,6 +140,7 @@
             excluded_until = self._clock.monotonic() + REPORTED_CRASH_EXCLUSION_S
             for upstream in upstreams:
                 self._health.exclude(upstream, excluded_until)
+                self._await_exclusion_end(upstream)
 
     def mark_replaced(self, upstream: UpstreamId) -> None:
         """Exclude an upstream whose address another server uses now.
@@ -139,12 +153,19 @@
             now = self._clock.monotonic()
             excluded_until = now + EXPIRY_HEARTBEATS * self._boot.server_heartbeat_s
             self._health.exclude(upstream, excluded_until)
+            self._await_exclusion_end(upstream)
+
+    def _await_exclusion_end(self, upstream: UpstreamId) -> None:
+        until = self._health.get_exclusion_end(upstream)
+        self.ramps.await_end(upstream, RampCause.EXCLUSION, until)
 
     def pause_upstream(self, upstream: UpstreamId, seconds: float) -> None:
         """Send nothing to an upstream that asked for this pause."""
         with self._lock:
             now = self._clock.monotonic()
             self._health.pause(upstream, now + seconds, now)
+            until = self._health.get_pause_end(upstream)
+            self.ramps.await_end(upstream, RampCause.PAUSE, until)
 
     def is_ready(self, upstream: Upstream) -> bool:
         """Return whether an upstream is listed and not leaving."""
@@ -242,7 +263,20 @@
                 self._loads.get_mean_duration_s(service) * 1000,
                 limited,
             )
+            bound = measure_balance(
+                [c for c in candidates if c.upstream.id not in limited],
+                self._boot.imbalance_factor,
+                upstream_count,
+            )
             in_time = self._filter_by_deadline(placements, remaining_s)
+            in_time = self.ramps.defer(
+                in_time,
+                bound,
+                limited,
+                max(len(candidates) - len(limited), upstream_count),
+                self._loads.get_mean_duration_s(service),
+                now,
+            )
             if isolation_key is not None:
                 in_time = rank_isolated(in_time, isolation_key)
             passage = self._gate.choose(in_time, service, priority, now)
@@ -254,11 +288,6 @@
             active_request = self._loads.start(
                 upstream.id, service, chosen.prefill_tokens, now
             )
-            bound = measure_balance(
-                [c for c in candidates if c.upstream.id not in limited],
-                self._boot.imbalance_factor,
-                upstream_count,
-            )
             age_s = self._loads.get_report_age(now)
             is_isolated = isolation_key is not None
             return Selection(
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -20,6 +20,7 @@
     make_crash_id,
 )
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
+from fescueflow.routing.first_events import FirstEventTimes
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
 from fescueflow.routing.limit_shares import (
@@ -73,6 +74,13 @@
     make_quarantine,
     rank_isolated,
 )
+from fescueflow.routing.ramp import (
+    Ramp,
+    RampCause,
+    RampEnd,
+    UpstreamRamps,
+    is_slow,
+)
 from fescueflow.routing.reports import (
     LoadCount,
     LoadReport,
@@ -118,6 +126,7 @@
     "Culprit",
     "Customer",
     "EngineTraits",
+    "FirstEventTimes",
     "HolderTable",
     "HolderUpdate",
     "Limit",
@@ -137,6 +146,9 @@
     "Prompt",
     "PublishedDemand",
     "Quarantine",
+    "Ramp",
+    "RampCause",
+    "RampEnd",
     "RetryBudget",
     "RetryDenial",
     "ReturnSlots",
@@ -154,14 +166,15 @@
     "Upstream",
     "UpstreamHealth",
     "UpstreamLoad",
+    "UpstreamRamps",
     "UpstreamState",
     "Verdict",
     "blend_reports",
     "choose_service",
     "collect_evidence",
+    "compute_burst",
     "compute_first_byte_wait",
     "compute_patience",
-    "compute_burst",
     "correct_running",
     "count_independent",
     "decide_admission",
@@ -170,9 +183,10 @@
     "find_culprits",
     "find_customer",
     "find_holder",
-    "has_quarantine",
     "find_route",
+    "has_quarantine",
     "is_copy_worthwhile",
+    "is_slow",
     "make_crash_id",
     "make_quarantine",
     "may_retry",
--- a/src/fescueflow/routing/health.py
+++ b/src/fescueflow/routing/health.py
@@ -96,6 +96,11 @@
         record = self._records.get(upstream)
         return record is not None and now < record.excluded_until
 
+    def get_exclusion_end(self, upstream: UpstreamId) -> float:
+        """Return the time until which an upstream is excluded, 0 if it is not."""
+        record = self._records.get(upstream)
+        return record.excluded_until if record is not None else 0.0
+
     def has_failed(self, upstream: UpstreamId) -> bool:
         """Return whether the last attempt at an upstream failed."""
         record = self._records.get(upstream)
