Begin and end ramps also at instances without requests

Cause: starts were taken up at a request only, so an instance that gets none kept each start that it had ever seen.

Change: the regular upkeep begins and ends what is due.

Run: tests.routing.test_ramp, tests.gateway.test_ramps and test_ramp_signals (22 tests, twice), tests.gateway.test_two_directions, tests.http1.test_heads: passed.

--- a/src/fescueflow/gateway/ramps.py
+++ b/src/fescueflow/gateway/ramps.py
@@ -179,9 +179,16 @@
                 self._cut(upstream, reason, sent_at, self._clock.monotonic(), {})
 
     def retain(self, kept: set[UpstreamId]) -> None:
-        """Forget upstreams that are not in ``kept``."""
+        """Forget upstreams that are not in ``kept``; begin and end what is due.
+
+        Notes
+        -----
+        An instance that gets no requests would keep all starts that it has seen.
+        """
         with self._lock:
             now = self._clock.monotonic()
+            self._begin_due(now)
+            self._end_elapsed(now)
             for upstream in set(self._ramps.list_names()) - kept:
                 self._end(upstream, RampEnd.GONE, now, {})
             self._awaited = {k: t for k, t in self._awaited.items() if k[0] in kept}
--- a/tests/gateway/test_ramps.py
+++ b/tests/gateway/test_ramps.py
@@ -133,6 +133,16 @@
         self.select()
         self.assertEqual(self.list_events(), [("begin", "cold", None)] * 3)
 
+    def test_instance_without_requests(self):
+        """It keeps no starts for ever, and begins a ramp of one that it will use."""
+        self.start(NAMES[0])
+        self.selector.ramps.retain(set(NAMES))
+        self.clock.now += 31.0
+        self.selector.ramps.retain(set(NAMES))
+        self.assertEqual(self.state.pop_started(), [])
+        expected = [("begin", "start", None), ("end", "start", "elapsed")]
+        self.assertEqual(self.list_events(), expected)
+
     def test_end_without_responses(self):
         self.start(NAMES[0])
         self.select()
