--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -26,6 +26,7 @@
     make_crash_id,
 )
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
+from fescueflow.routing.first_events import FirstEventTimes
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
 from fescueflow.routing.holders import HolderTable, HolderUpdate
 from fescueflow.routing.limit_shares import (
@@ -85,6 +86,13 @@
     make_quarantine,
     rank_isolated,
 )
+from fescueflow.routing.ramp import (
+    Ramp,
+    RampCause,
+    RampEnd,
+    UpstreamRamps,
+    is_slow,
+)
 from fescueflow.routing.reports import (
     LoadCount,
     LoadReport,
@@ -142,6 +150,7 @@
     "Customer",
     "EngineTraits",
     "FirstEvent",
+    "FirstEventTimes",
     "HolderTable",
     "HolderUpdate",
     "LeftOut",
@@ -168,6 +177,9 @@
     "Prompt",
     "PublishedDemand",
     "Quarantine",
+    "Ramp",
+    "RampCause",
+    "RampEnd",
     "RetryBudget",
     "RetryDenial",
     "ReturnSlots",
@@ -188,15 +200,16 @@
     "Upstream",
     "UpstreamHealth",
     "UpstreamLoad",
+    "UpstreamRamps",
     "UpstreamState",
     "Verdict",
     "blend_reports",
     "choose_coordinator",
     "choose_service",
     "collect_evidence",
+    "compute_burst",
     "compute_first_byte_wait",
     "compute_patience",
-    "compute_burst",
     "correct_running",
     "count_independent",
     "decide_admission",
@@ -206,11 +219,12 @@
     "find_culprits",
     "find_customer",
     "find_holder",
-    "has_quarantine",
     "find_reason_to_leave_out",
     "find_route",
+    "has_quarantine",
     "is_coordinated",
     "is_copy_worthwhile",
+    "is_slow",
     "make_crash_id",
     "make_quarantine",
     "may_retry",
