Look for a coordinator before anything else is computed for a permit

Cause: each request to a service without a coordinator listed the failing upstreams and noted its deadline in vain. Change: the dispatcher asks first whether the service has a coordinator. Tested: tests.gateway.test_permits, test_path and test_named_limits: pass.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -291,7 +291,7 @@
         """
         permit = permitted = None
         # A request that is sent apart has to go to an upstream of its own.
-        if isolation_key is None:
+        if isolation_key is None and self._permits.is_needed(context):
             permitted = self._permits.find_limited(context)
             if permitted is None:
                 permit = self._permits.acquire(context, priority)
--- a/src/fescueflow/gateway/request_permits.py
+++ b/src/fescueflow/gateway/request_permits.py
@@ -32,11 +32,13 @@
         self._lock = threading.Lock()
         self._ages = CallerAges()
 
+    def is_needed(self, context: RequestContext) -> bool:
+        """Return whether the request's service has a coordinator to ask."""
+        now = self._clock.monotonic()
+        return self._client.coordinators.find(context.service, now) is not None
+
     def find_limited(self, context: RequestContext) -> UpstreamId | None:
         """Return an upstream with a limit that needs no permit, but has a token."""
-        now = self._clock.monotonic()
-        if self._client.coordinators.find(context.service, now) is None:
-            return None
         return self._selector.find_limited(context.service, context.tried)
 
     def acquire(self, context: RequestContext, priority: int) -> Permit | None:
