Tell only own medians of upstreams' speed

Cause: an instance with fewer than three observed times of its own took the service's time figure from what others told and told it again, so a wrong value went round the fleet and never decayed.

Change: list_updates uses the instance's own medians, 0 without enough.

Test: 12 instances, 10 upstreams at percent 100 and a source that says 3.0 for 3 s. Run: tests.routing.test_told_speeds, tests.routing.test_speeds.

--- a/src/fescueflow/routing/speeds.py
+++ b/src/fescueflow/routing/speeds.py
@@ -123,7 +123,9 @@
     ) -> Iterator[SpeedUpdate]:
         percents = self._percents.get_figures(service)
         times = self._times.get_figures(service)
-        percent_middle, time_middle = self._find_middles(service, now)
+        # Own medians only: a told value that is told again would never decay.
+        percent_middle = self._percents.find_median(service, now) or 0.0
+        time_middle = self._times.find_median(service, now) or 0.0
         for upstream in percents.keys() | times.keys():
             percent, time = percents.get(upstream), times.get(upstream)
             latest = max(f.recorded_at for f in (percent, time) if f is not None)
--- a/tests/routing/test_told_speeds.py
+++ b/tests/routing/test_told_speeds.py
@@ -114,5 +114,33 @@
         self.check(honest, lie, own=own, age_s=age_s)
 
 
+class EchoTest(unittest.TestCase):
+    """Guards against told slowdowns that instances tell each other for ever."""
+
+    def test_fleet_forgets_a_source_that_has_stopped(self):
+        upstreams = [UpstreamId(f"u{n}") for n in range(10)]
+        tables = {InstanceId(f"edge-{n}"): SpeedTable() for n in range(12)}
+        last, factors = list(tables)[-1], []
+        for step in range(100):
+            now = 10.0 + 0.35 * step
+            if now < 13.0:
+                lies = [SpeedUpdate(u, 3.0, 0.0) for u in upstreams]
+                self.tell(tables, LIAR, lies, now)
+            found = tables[last].estimate(upstreams, ENGINES, now)
+            factors.append(max(slowdown.factor for slowdown in found.values()))
+            for source, table in tables.items():
+                for upstream in upstreams:
+                    table.record_percent(upstream, ENGINES, 100, now)
+                self.tell(tables, source, table.list_updates(now), now)
+        self.assertGreater(max(factors), 1.0)
+        self.assertAlmostEqual(factors[-1], 1.0)
+
+    def tell(self, tables, source, updates, now):
+        for name, table in tables.items():
+            for update in updates:
+                if name != source:
+                    table.merge(source, ENGINES, update, now)
+
+
 if __name__ == "__main__":
     unittest.main()
