Leave out slowdowns of outdated reports

Cause: the age of a told slowdown counts from the arrival of its report, so a reordered report made an earlier slowdown look new.

Change: Reporter merges speeds only of reports that are not outdated.

Test: a report that arrives 20 s late, after a later one of the same instance, fails before (2.0) and passes now. Run: tests.gateway.test_speeds, tests.gateway.test_odd_reports.

--- a/src/fescueflow/gateway/reporting.py
+++ b/src/fescueflow/gateway/reporting.py
@@ -173,10 +173,10 @@
         if not is_outdated:
             self._loads.set_peer_loads(sender.instance, report.loads, now, sender.zone)
             self._loads.merge_zones(report.zone_loads, sender.zone, now)
+            self._selector.speeds.merge(sender.instance, report.speeds, now)
         self._loads.merge_counts(report.counts, now)
         self._selector.merge_holder_updates(report.holder_updates)
         self._selector.merge_limits(report.limits)
-        self._selector.speeds.merge(sender.instance, report.speeds, now)
         crashed = self._quarantine.merge(report.quarantine, sender.instance)
         self._selector.mark_crashed(crashed)
 
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -223,6 +223,17 @@
         self.clock.advance(3.1)
         self.assertIsNone(self.read_speeds(self.instance.report(False)[1]))
 
+    def test_outdated_report_is_left_out(self):
+        """A reordered report would make an earlier slowdown look new."""
+        other, upstream = self.make_instance(1), self.upstreams[0]
+        self.tell(other, [upstream], percent=200)
+        _, earlier = other.report(False)
+        _, later = other.report(False)
+        self.instance.reporter.handle_report(later)
+        self.clock.advance(20.0)
+        self.instance.reporter.handle_report(earlier)
+        self.assertLess(self.get_slowdown(upstream.id), 1.1)
+
     def test_upstream_that_is_not_listed(self):
         other = self.make_instance(1)
         self.tell(other, [make_upstream("gone")])
