Observe the speed of upstreams that cache a prompt's prefix

Cause: since a second source is named for cached placements too, each first event of a service that copies was left out as copied, so observed times no longer counted at all.

Change: only a source of an uncached prefix counts as a copy. For a cached one with a source, the bound of EVICTED is the cost of a copy, as placement estimates it, where that is less than the prefill of the whole prompt. The bare time of the transfer (8 ms of 110) would leave only samples of fast upstreams.

Test: a cached prompt at a service that copies (fails before: slowdown 1.0), and the bound with a long and a short prefix.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -407,15 +407,18 @@
 
     def record_first_event(self, attempt: Attempt) -> None:
         """Record how long the first event of a stream took."""
-        selection = attempt.selection
+        selection, placement = attempt.selection, attempt.selection.placement
+        has_source = selection.source is not None
+        copy_rate = self._selector.get_copy_rate(selection.upstream.service)
         event = FirstEvent(
-            placement=selection.placement,
+            placement=placement,
             prompt=attempt.prompt,
             observed_ms=(attempt.begun_at - attempt.sent_at) * 1000,
             reported_running=attempt.reported_running,
             is_retry=selection.is_retry,
             is_silent=attempt.is_silent,
-            is_copied=selection.source is not None,
+            is_copied=has_source and not placement.is_cached,
+            copy_tokens_per_ms=copy_rate if has_source else 0.0,
         )
         self._selector.speeds.record_first_event(event, attempt.begun_at)
 
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -302,7 +302,7 @@
                 self._boot.imbalance_factor,
                 self._boot.zone,
                 upstream_count,
-                self._get_copy_rate(service) if sources else 0.0,
+                self.get_copy_rate(service) if sources else 0.0,
                 self._loads.get_mean_duration_s(service) * 1000,
                 limited,
             )
@@ -408,7 +408,7 @@
         -----
         Upstreams that drain or are in a withdrawn zone still serve copies to others.
         """
-        if not is_copy_worthwhile(prompt, self._get_copy_rate(service)):
+        if not is_copy_worthwhile(prompt, self.get_copy_rate(service)):
             return []
         reachable = {
             upstream.id: upstream
@@ -428,7 +428,7 @@
         usable: list[Upstream],
     ) -> Upstream | None:
         """Return the upstream from which the selected one copies what it lacks."""
-        if not is_copy_worthwhile(prompt, self._get_copy_rate(upstream.service)):
+        if not is_copy_worthwhile(prompt, self.get_copy_rate(upstream.service)):
             return None
         if sources and all(source.id != upstream.id for source in sources):
             return sources[0]
@@ -438,7 +438,8 @@
         )
         return others[name] if name is not None else None
 
-    def _get_copy_rate(self, service: ServiceId) -> float:
+    def get_copy_rate(self, service: ServiceId) -> float:
+        """Return the tokens per ms that upstreams of a service copy; zero for none."""
         table = self._platform_state.get_table()
         known = table.services.get(service) if table else None
         return known.engine.copy_tokens_per_ms if known and known.engine else 0.0
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -156,9 +156,7 @@
     prefill_tokens = prompt.own_tokens
     copy_ms = 0.0
     if is_copied:
-        prefill_ms = prompt.shared_tokens / PREFILL_TOKENS_PER_MS
-        copy_ms = COPY_COST_MS + prompt.shared_tokens / copy_tokens_per_ms
-        copy_ms += COPY_EVICTION_FRACTION * prefill_ms
+        copy_ms = estimate_copy_ms(prompt, copy_tokens_per_ms)
     elif not is_cached:
         prefill_tokens += prompt.shared_tokens
     wait_ms = estimate_wait_ms(candidate, hold_ms)
@@ -166,6 +164,13 @@
     return Placement(candidate, cost_ms, is_cached, prefill_tokens, is_copied, wait_ms)
 
 
+def estimate_copy_ms(prompt: Prompt, copy_tokens_per_ms: float) -> float:
+    """Return the cost of a copy of the shared prefix from another upstream."""
+    prefill_ms = prompt.shared_tokens / PREFILL_TOKENS_PER_MS
+    copy_ms = COPY_COST_MS + prompt.shared_tokens / copy_tokens_per_ms
+    return copy_ms + COPY_EVICTION_FRACTION * prefill_ms
+
+
 def estimate_wait_ms(candidate: Candidate, hold_ms: float) -> float:
     """Return the expected time until a slot is free.
 
@@ -337,6 +342,7 @@
     "Candidate",
     "Placement",
     "UpstreamLoad",
+    "estimate_copy_ms",
     "estimate_cost_ms",
     "find_balanced",
     "find_holder",
--- a/src/fescueflow/routing/speed_samples.py
+++ b/src/fescueflow/routing/speed_samples.py
@@ -7,7 +7,11 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from fescueflow.routing.placement import Placement, estimate_cost_ms
+from fescueflow.routing.placement import (
+    Placement,
+    estimate_copy_ms,
+    estimate_cost_ms,
+)
 from fescueflow.routing.prompts import Prompt
 from fescueflow.routing.speed_signals import SLOWDOWN_MAX, SLOWDOWN_MIN
 
@@ -40,7 +44,9 @@
 
     ``observed_ms`` is the time since the request was sent, and ``reported_running`` the
     upstream's count of its requests including this one, ``None`` without one.
-    ``is_copied`` is whether the upstream was told to copy the shared prefix.
+    ``is_copied`` is whether the upstream was told to copy the shared prefix that it
+    lacks, and ``copy_tokens_per_ms`` the rate at which it copies one that it was
+    expected to cache, zero if no source was named.
     """
 
     placement: Placement
@@ -50,6 +56,7 @@
     is_retry: bool = False
     is_silent: bool = False
     is_copied: bool = False
+    copy_tokens_per_ms: float = 0.0
 
 
 def estimate_first_event_ms(placement: Placement, prefill_tokens: int) -> float:
@@ -58,14 +65,33 @@
     return FIRST_EVENT_MS + estimate_cost_ms(load, prefill_tokens)
 
 
+def estimate_evicted_ms(event: FirstEvent) -> float:
+    """Return the time to the first event if the shared prefix was evicted.
+
+    Notes
+    -----
+    The prefix is read again, or copied where a source was named and that is shorter.
+    """
+    placement, prompt = event.placement, event.prompt
+    whole_tokens = prompt.shared_tokens + prompt.own_tokens
+    evicted_ms = estimate_first_event_ms(placement, whole_tokens)
+    if event.copy_tokens_per_ms <= 0:
+        return evicted_ms
+    copied_ms = estimate_first_event_ms(placement, placement.prefill_tokens)
+    copied_ms += estimate_copy_ms(prompt, event.copy_tokens_per_ms)
+    return min(evicted_ms, copied_ms)
+
+
 def find_reason_to_leave_out(event: FirstEvent, now: float) -> LeftOut | None:
     """Return why a first event tells nothing of the speed, ``None`` if it does.
 
     Notes
     -----
-    A prefix that was evicted is read again, which looks like a slow upstream. A time in
-    which the whole prompt could have been read is therefore left out where only the
-    rest was to be read.
+    A prefix that was evicted is read or copied again, which looks like a slow upstream.
+    A time in which that was possible is therefore left out where only the rest of the
+    prompt was to be read. The time of a copy is the cost that placement counts for it:
+    the time of the transfer alone is a few milliseconds, and with that as the bound,
+    only samples of fast upstreams would be left.
     """
     placement, prompt = event.placement, event.prompt
     upstream, load = placement.candidate.upstream, placement.candidate.load
@@ -82,7 +108,7 @@
         LeftOut.QUEUED: running > upstream.slots,
         LeftOut.SHORT: expected_ms < EXPECTED_MIN_MS,
         LeftOut.EVICTED: placement.prefill_tokens < whole_tokens
-        and event.observed_ms >= estimate_first_event_ms(placement, whole_tokens),
+        and event.observed_ms >= estimate_evicted_ms(event),
         LeftOut.IMPLAUSIBLE: not SLOWDOWN_MIN
         <= event.observed_ms / expected_ms
         <= SLOWDOWN_MAX,
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -12,10 +12,10 @@
     decompress_report,
 )
 from fescueflow.platform import parse_upstream_load, parse_upstream_percent
-from fescueflow.routing import AttemptFailure, Prompt
+from fescueflow.routing import AttemptFailure, EngineTraits, Prompt, Service
 from tests.fakes import FakeClock
 from tests.gateway.fleet import FleetSimulation, Instance, Load
-from tests.routing.builders import ENGINES, make_upstream
+from tests.routing.builders import ENGINES, make_table, make_upstream
 
 SEAL = {"X-Server-Seal": "s"}
 REFUSAL = {"X-Not-Executed": "1"}
@@ -143,9 +143,9 @@
 class FirstEventTest(SpeedCase):
     """Guards against observed times that count wrongly or not at all."""
 
-    def run_stream(self, seconds, load="1,0,16", tried=(), count=1):
+    def run_stream(self, seconds, load="1,0,16", tried=(), count=1, prompt=PROMPT):
         for _ in range(count):
-            attempt = self.open_attempt(200, load, tried=tried, prompt=PROMPT)
+            attempt = self.open_attempt(200, load, tried=tried, prompt=prompt)
             self.clock.advance(1.0)
             attempt.send("POST", "/", [], b"")
             attempt.read_head(0.0, "a1")
@@ -159,6 +159,23 @@
         upstream = self.run_stream(0.22, tried=[], count=1)
         self.assertGreater(self.get_slowdown(upstream), 1.1)
 
+    def test_cached_prompt_of_a_service_that_copies(self):
+        """Each request names a source there, also where the prefix is cached."""
+        engine = EngineTraits(16, 690_000, copy_tokens_per_ms=2_000.0)
+        service = Service(ENGINES, 600, 3.0, 20.0, engine)
+        platform_state = self.instance.platform_state
+        platform_state.accept_table(make_table(version=2, services=(service,)))
+        metrics = self.instance.selector.speeds._metrics
+        prompt = Prompt("k", 10_000, 11_000)
+        # The usual time is 110 ms, and the cost of a copy 58 ms.
+        upstream = self.run_stream(0.150, prompt=prompt)
+        slowdown = self.get_slowdown(upstream)
+        self.assertGreater(slowdown, 1.05)
+        self.assertEqual(self.run_stream(0.175, prompt=prompt), upstream)
+        name = "upstream_speed_samples_left_out"
+        self.assertEqual(metrics.get_count(name, why="evicted"), 1)
+        self.assertLess(self.get_slowdown(upstream), slowdown)
+
     def test_left_out_and_counted(self):
         metrics = self.instance.selector.speeds._metrics
         for changes, why in (
--- a/tests/routing/test_speeds.py
+++ b/tests/routing/test_speeds.py
@@ -178,6 +178,21 @@
                 self.assertIs(self.find_reason(**changes), reason)
         self.assertIsNone(self.find_reason(load=full, reported_running=3))
 
+    def test_copy_of_an_evicted_prefix(self):
+        """The copy takes less time than the prefill, unless the prefix is short."""
+        for shared, observed_ms, reason in (
+            (20_000, 180.0, None),
+            (20_000, 200.0, LeftOut.EVICTED),
+            (300, 112.0, None),
+            (300, 113.0, LeftOut.EVICTED),
+        ):
+            found = self.find_reason(
+                prompt=Prompt("k", shared, 11_000),
+                observed_ms=observed_ms,
+                copy_tokens_per_ms=2_000.0,
+            )
+            self.assertIs(found, reason)
+
     def test_cold_upstream_and_short_prompt(self):
         cold = make_candidate("u1", cold_until=3.0, slots=16)
         for placement, reason in (
