Count the service factor once in the wait for a slot

Cause: the wait was the measured mean duration times the whole slowdown, but the mean duration holds the service factor already.

Change: the wait takes the upstream's share of the slowdown alone, computed from the logarithm before it is clipped. Prefill and running cost keep the whole slowdown. Without figures, results are as before.

Run: tests.routing.test_speeds, tests.routing.test_told_speeds, tests.routing.test_placement, tests.gateway.test_speeds.

--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -365,6 +365,7 @@
                     loads[upstream.id],
                     failure_rate=self._health.get_failure_rate(upstream.id),
                     slowdown=slowdowns[upstream.id].factor,
+                    slowdown_share=slowdowns[upstream.id].share,
                     slowdown_age_s=slowdowns[upstream.id].age_s,
                 ),
             )
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -61,8 +61,9 @@
     ``own_running`` counts the requests in ``running`` that this instance has sent.
     ``count_age_s`` is the age of the upstream's own request count on which ``running``
     is based; ``None`` if there is no such count. ``slowdown`` is the factor by which
-    work takes longer there than the constants above say, and ``slowdown_age_s`` the age
-    of its latest sample, ``None`` if there is none.
+    work takes longer there than the constants above say, ``slowdown_share`` the part of
+    it that is the upstream's and not its service's, and ``slowdown_age_s`` the age of
+    its latest sample, ``None`` if there is none.
     """
 
     running: float = 0.0
@@ -71,6 +72,7 @@
     own_running: int = 0
     count_age_s: float | None = None
     slowdown: float = 1.0
+    slowdown_share: float = 1.0
     slowdown_age_s: float | None = None
 
 
@@ -179,10 +181,15 @@
     candidate : Candidate
     hold_ms : float
         Mean time that a request holds a slot of this service.
+
+    Notes
+    -----
+    ``hold_ms`` is measured and contains how slow the service's upstreams are, so only
+    the upstream's share of the slowdown applies.
     """
     slots = max(1, candidate.upstream.slots)
     ahead = max(0.0, candidate.load.running + 1 - slots)
-    return ahead * hold_ms / slots * candidate.load.slowdown
+    return ahead * hold_ms / slots * candidate.load.slowdown_share
 
 
 def estimate_cost_ms(load: UpstreamLoad, prefill_tokens: int) -> float:
--- a/src/fescueflow/routing/speeds.py
+++ b/src/fescueflow/routing/speeds.py
@@ -52,11 +52,13 @@
 class Slowdown(NamedTuple):
     """Factor by which work takes longer, and the age of its latest sample.
 
-    ``age_s`` is ``None`` if nothing was heard of the upstream itself.
+    ``age_s`` is ``None`` if nothing was heard of the upstream itself. ``share`` is the
+    upstream's part of the factor, without that of its service.
     """
 
     factor: float = 1.0
     age_s: float | None = None
+    share: float = 1.0
 
 
 USUAL = Slowdown()
@@ -191,11 +193,11 @@
                     own = weight * (log - middle)
                     log = middle + (own + kept * deviation) / (weight + kept)
                     latest = at if at > latest else latest
-            factor = exp(
-                LOG_MIN if log < LOG_MIN else LOG_MAX if log > LOG_MAX else log
-            )
+            part = log - middle
             slowdowns[upstream] = Slowdown(
-                factor, None if latest == NEVER else now - latest
+                exp(LOG_MIN if log < LOG_MIN else LOG_MAX if log > LOG_MAX else log),
+                None if latest == NEVER else now - latest,
+                exp(LOG_MIN if part < LOG_MIN else LOG_MAX if part > LOG_MAX else part),
             )
         return slowdowns
 
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -127,6 +127,8 @@
         self.assertEqual(
             (described["slowdown"], described["slowdown_age_ms"]), (1.5, 100)
         )
+        # All three are as slow, so that nothing of it is the upstream's own.
+        self.assertEqual(selection.placement.candidate.load.slowdown_share, 1.0)
 
     def test_three_figures_change_nothing(self):
         attempt = self.open_attempt(200, "1,0,16")
