Count the first event of slow upstreams in their cost

Cause: an engine at 300 percent answers a short cached prompt in 150 instead of 50 ms, but its cost is a few ms, since the constants leave out the time that every engine takes to its first event. A slow holder of a prefix was never left.

Change: estimate_cost_ms adds FIRST_EVENT_MS times the slowdown less 1 and is 0 or more. Ranking tells costs below 0 apart, or all short prompts would go to the first of several fast upstreams by name. The constant of that name in speed_samples is now ROUND_TRIP_MS.

Test: a holder at 300 percent loses short answers and chats to another upstream, one at 120 percent keeps them; fast upstreams are told apart by load. test_cost_and_wait has the new term. Run: tests.routing.test_speeds, tests.routing.test_placement, tests.gateway.test_speeds.

--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -19,6 +19,10 @@
 # to 0.08 ms to each engine step, and a prompt without its shared prefix takes two or
 # three steps.
 RUNNING_COST_MS = 0.15
+# Time to the first event of an idle engine for a short cached prompt, in milliseconds:
+# 40 to 50 ms were seen on the two deployments. It is the same at all engines of the
+# usual speed, so only what a slowdown adds to it or takes from it counts.
+FIRST_EVENT_MS = 40.0
 # Cost of an upstream in another zone, in milliseconds; it only breaks ties. With the
 # full round trip of 6 to 11 ms, short prompts moved away from their holders, and the
 # repeated prefill cost more than the round trip.
@@ -197,13 +201,20 @@
 
     Notes
     -----
-    The sum of the prefill time, the delay by running requests and the expected cost of
-    a failure. The first two take longer at a slow upstream.
+    The sum of the prefill time, the delay by running requests, the expected cost of a
+    failure and the change of the time to the first event by the slowdown, 0 or more.
+    The first two take longer at a slow upstream, too.
     """
+    return max(0.0, sum_cost_ms(load, prefill_tokens))
+
+
+def sum_cost_ms(load: UpstreamLoad, prefill_tokens: int) -> float:
+    """Return the cost against an upstream of the usual speed, below 0 at a fast one."""
     prefill_ms = (load.waiting_tokens + prefill_tokens) / PREFILL_TOKENS_PER_MS
     risk_ms = load.failure_rate * FAILURE_COST_MS
     running_ms = load.running * RUNNING_COST_MS
-    return prefill_ms * load.slowdown + running_ms * load.slowdown + risk_ms
+    work_ms = prefill_ms * load.slowdown + running_ms * load.slowdown + risk_ms
+    return work_ms + FIRST_EVENT_MS * (load.slowdown - 1)
 
 
 def measure_balance(
@@ -333,7 +344,10 @@
 
     def order(placement: Placement) -> tuple[bool, float, UpstreamId]:
         upstream = placement.candidate.upstream
-        cost_ms = placement.cost_ms
+        load, cost_ms = placement.candidate.load, placement.cost_ms
+        if load.slowdown < 1:
+            # Costs below 0 count as 0 but still tell fast upstreams apart.
+            cost_ms += min(0.0, sum_cost_ms(load, placement.prefill_tokens))
         if near not in {None, upstream.zone}:
             cost_ms += ZONE_COST_MS
         if not placement.is_cached and upstream.id not in successors:
--- a/src/fescueflow/routing/speed_samples.py
+++ b/src/fescueflow/routing/speed_samples.py
@@ -18,7 +18,7 @@
 # Part of the time to the first event that does not depend on the speed, in
 # milliseconds: the longest round trip between zones (7.8 ms) and a short wait for a
 # step.
-FIRST_EVENT_MS = 10.0
+ROUND_TRIP_MS = 10.0
 # Shortest expected time that tells a speed, in milliseconds. Engines send several
 # tokens in an event, which takes 31 to 33 ms at their shortest steps; a shorter
 # expected time would measure that instead of the prefill.
@@ -62,7 +62,7 @@
 def estimate_first_event_ms(placement: Placement, prefill_tokens: int) -> float:
     """Return the time to the first event at an upstream of the usual speed."""
     load = replace(placement.candidate.load, slowdown=1.0, failure_rate=0.0)
-    return FIRST_EVENT_MS + estimate_cost_ms(load, prefill_tokens)
+    return ROUND_TRIP_MS + estimate_cost_ms(load, prefill_tokens)
 
 
 def estimate_evicted_ms(event: FirstEvent) -> float:
