Ask the zone's reader only for noted revisions and pause after failures

Unreadable entries were asked for with revision 0, which any value that the reader holds satisfies, and the reader kept a large value when a small one followed. A short unreadable configuration after a large one was therefore read from the reader without pause. Only noted revisions are asked for now, an older value is dropped when a newer one is not kept, and a failed or outdated read is followed by 2 s without one.

--- a/src/fescueflow/gateway/shared_values.py
+++ b/src/fescueflow/gateway/shared_values.py
@@ -47,19 +47,21 @@
         self._values: dict[str, SharedValue] = {}
 
     def record(self, items: Iterable[StoreItem], era: int = 0) -> None:
-        """Store the large values among items, and forget deleted ones."""
+        """Store the large values among items, and forget those that others replace."""
         with self._lock:
             for item in items:
-                if not item.value:
-                    self._values.pop(item.key, None)
-                elif len(item.value) > VALUE_BYTES_MAX and item.revision:
-                    self._record(item, item.value, era)
+                self._record(item, era)
 
-    def _record(self, item: StoreItem, value: bytes, era: int) -> None:
+    def _record(self, item: StoreItem, era: int) -> None:
         known = self._values.get(item.key)
-        if known and (known.era, known.revision) >= (era, item.revision):
-            return
-        if known or len(self._values) < VALUES_MAX:
+        # Without a revision, the order is not known, and the item may be newer.
+        if known and item.revision:
+            if (known.era, known.revision) >= (era, item.revision):
+                return
+        self._values.pop(item.key, None)
+        value = item.value or b""
+        is_kept = len(value) > VALUE_BYTES_MAX and item.revision
+        if is_kept and len(self._values) < VALUES_MAX:
             self._values[item.key] = SharedValue(item.revision, era, value)
 
     def find(self, key: str) -> SharedValue | None:
--- a/src/fescueflow/gateway/store_calls.py
+++ b/src/fescueflow/gateway/store_calls.py
@@ -1,5 +1,7 @@
 """Reads and watches of the store, and the time as of which their results hold."""
 
+import math
+
 from fescueflow.core import Clock, Revision, StoreEra
 from fescueflow.gateway.shared_values import SharedValues
 from fescueflow.gateway.value_reader import ValueSource
@@ -14,6 +16,10 @@
 # Wait of a follower's call, which only asks what has changed.
 CHECK_TIMEOUT_S = 0.05
 READ_TIMEOUT_S = 0.7
+# Time without reads from another instance after one that failed or was outdated, so
+# that a reader in trouble costs each follower one read in this time. Versions of a
+# configuration follow each other each second at most.
+SHARED_PAUSE_S = 2.0
 # One watch covers all prefixes, since each call costs the same.
 ALL_PREFIXES = ""
 
@@ -42,6 +48,7 @@
     ) -> None:
         self._values = values
         self._shared = shared
+        self._shared_paused_until = -math.inf
         self._client = client
         self._clock = clock
         self._metrics = metrics
@@ -85,10 +92,11 @@
             Revision of the key's last change that is known of.
         era : StoreEra
         """
-        if self._values is None:
+        if self._values is None or self._clock.monotonic() < self._shared_paused_until:
             return None
         item = self._values.read(key, noted, era)
         if item is None:
+            self._shared_paused_until = self._clock.monotonic() + SHARED_PAUSE_S
             return None
         return self._share(StoreResult((item,), item.revision, era))
 
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -367,11 +367,16 @@
         Notes
         -----
         The notes stay until the values are known, so that the state does not count as
-        current while a call is on its way.
+        current while a call is on its way. Unreadable entries have no noted revision,
+        which any value of the reader would satisfy: the store is asked for them.
         """
+        may_share = True
         for key in keys:
             noted = self._missing.get_noted(key)
-            shared = self._caller.read_shared(key, noted, era)
+            shared = None
+            if noted and may_share:
+                shared = self._caller.read_shared(key, noted, era)
+                may_share = shared is not None
             result = shared or self._caller.fetch(key)
             if not self._era_changes.accepts(result, era, False):
                 return
--- a/tests/gateway/test_shared_values.py
+++ b/tests/gateway/test_shared_values.py
@@ -51,6 +51,14 @@
         self.record(7, b"small")
         self.assertIsNone(self.find_revision())
 
+    def test_small_value_after_a_large_one(self):
+        """Guards against an old configuration that is served as the last one."""
+        self.record(5)
+        self.record(4, b"small")
+        self.assertEqual(self.find_revision(), (0, 5))
+        self.record(6, b"small")
+        self.assertIsNone(self.find_revision())
+
     def test_compression(self):
         self.record(5)
         shared = self.values.find(KEY)
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -2,13 +2,25 @@
 
 import unittest
 
-from fescueflow.core import PlatformUnavailable, SeededRandomSource
-from fescueflow.gateway.changes import UpstreamChangeHandler
+from fescueflow.core import (
+    InstanceId,
+    PlatformUnavailable,
+    Revision,
+    SeededRandomSource,
+    StoreEra,
+    ZoneId,
+)
+from fescueflow.gateway.changes import OperatorChangeHandler, UpstreamChangeHandler
+from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import RECOVERY_GRACE_S, PlatformState
+from fescueflow.gateway.relay import Role, StoreRelay, StoreUpdate
+from fescueflow.gateway.store_calls import SHARED_PAUSE_S
+from fescueflow.gateway.value_reader import ValueSource
 from fescueflow.gateway.watching import StoreWatcher
 from fescueflow.metrics import Metrics
-from fescueflow.platform import HistoryExpired, StoreItem, StoreResult
+from fescueflow.platform import TABLE_KEY, HistoryExpired, StoreItem, StoreResult
 from tests.fakes import FakeClock
+from tests.gateway.builders import make_peer
 from tests.gateway.fake_servers import encode
 from tests.routing.builders import ENGINES
 
@@ -30,6 +42,20 @@
     return StoreItem(f"servers/{name}", encode({**entry, **changes}))
 
 
+def make_update(base, revision, omitted=(), era=0):
+    """Return an update of the reader of a zone."""
+    return StoreUpdate(
+        InstanceId("edge-9"),
+        ZoneId("a"),
+        Role.READER,
+        Revision(base),
+        Revision(revision),
+        0.0,
+        omitted=tuple(omitted),
+        era=StoreEra(era),
+    )
+
+
 class InstantClock(FakeClock):
     """Fake clock whose waits return at once."""
 
@@ -117,5 +143,79 @@
         self.assertEqual(self.list_names(), set())
 
 
+class ListedValues(ValueSource):
+    """Has prepared values of other instances; records the keys that are read."""
+
+    def __init__(self, values):
+        self.values = values
+        self.asked = []
+
+    def read(self, key, revision, era):
+        """Return the prepared value."""
+        self.asked.append(key)
+        return self.values.get(key)
+
+
+class SharedReadTest(unittest.TestCase):
+    """Guards against reads of the zone's reader without pause, 400 a second."""
+
+    def start(self, client, values=None):
+        """Start a follower that has read the store once."""
+        self.clock, self.values = InstantClock(), ListedValues(values or {})
+        self.state, self.metrics = PlatformState(), Metrics()
+        self.relay = StoreRelay(
+            peers=PeerTable(make_peer()),
+            send=lambda host, data: None,
+            clock=self.clock,
+            random_source=SeededRandomSource(1),
+        )
+        self.watcher = StoreWatcher(
+            client=client,
+            handlers=[OperatorChangeHandler(self.state, self.clock)],
+            platform_state=self.state,
+            heartbeat_s=HEARTBEAT_S,
+            clock=self.clock,
+            random_source=SeededRandomSource(1),
+            metrics=self.metrics,
+            relay=self.relay,
+            values=self.values,
+        )
+        self.watcher.run_once()
+        self.relay.role = Role.FOLLOWER
+
+    def announce(self, *keys, revision):
+        base = self.watcher.revision
+        update = make_update(base, revision, omitted=keys)
+        self.watcher.handle_update(update)
+        self.watcher.run_once()
+
+    def test_unreadable_entry_is_read_from_the_store(self):
+        spoiled = StoreItem(TABLE_KEY, b"{", Revision(1))
+        self.start(ScriptedClient([spoiled], []), {TABLE_KEY: spoiled})
+        self.clock.advance(0.5)
+        self.watcher.run_once()
+        self.assertEqual(self.values.asked, [])
+
+    def test_pause_after_a_failed_read(self):
+        self.start(ScriptedClient(*[[]] * 9))
+        self.announce("op/a", "op/b", revision=2)
+        self.assertEqual(self.values.asked, ["op/a"])
+        self.clock.advance(SHARED_PAUSE_S - 0.1)
+        self.announce("op/a", revision=3)
+        self.assertEqual(self.values.asked, ["op/a"])
+        self.clock.advance(0.2)
+        self.announce("op/a", revision=4)
+        self.assertEqual(self.values.asked, ["op/a", "op/a"])
+
+    def test_one_failed_read_while_the_store_is_slow(self):
+        client = ScriptedClient(*[[]] * 9)
+        self.start(client)
+        client.read = lambda key: (
+            self.clock.advance(2 * SHARED_PAUSE_S) or StoreResult((), Revision(2))
+        )
+        self.announce("op/a", "op/b", revision=2)
+        self.assertEqual(self.values.asked, ["op/a"])
+
+
 if __name__ == "__main__":
     unittest.main()
