Notice an era that is entered just before a follower's wait

A follower that waits after a failed call clears the notice of changes first. An era entered just before lost its notice, and the thread slept for up to 3 s. It now looks at the entry after the clear.

--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -275,6 +275,9 @@
             self._clock.wait(self._eras.entered, delay_s)
             return
         self._is_behind.clear()
+        if self._eras.entered.is_set():
+            # The era was entered before the clear, which has undone its notice.
+            return
         self._was_hurried = self._clock.wait(self._is_behind, delay_s)
 
     def _is_follower(self) -> bool:
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -216,6 +216,25 @@
         self.announce("op/a", "op/b", revision=2)
         self.assertEqual(self.values.asked, ["op/a"])
 
+    def test_era_entered_just_before_the_wait_after_a_failure(self):
+        """Guards against a follower that sleeps for seconds in a new era."""
+        self.start(ScriptedClient([], PlatformUnavailable("silent")))
+        self.clock.advance(5.0)
+        waits = []
+        self.clock.wait = lambda event, seconds: waits.append(seconds) or event.is_set()
+        count_zone = self.relay.count_zone
+
+        def enter_era():
+            update = make_update(0, 1, era=1)
+            self.watcher.handle_update(update)
+            waits.clear()
+            return count_zone()
+
+        # Called after the role was checked, and before the notice is cleared.
+        self.relay.count_zone = enter_era
+        self.watcher.run_once()
+        self.assertEqual(waits, [])
+
 
 if __name__ == "__main__":
     unittest.main()
