Start without the server of large values if its port is occupied

The port between instances is known to be free for datagrams only; another process on its TCP side ended the start with OSError. The instance now logs and counts it (value_server_failures) and runs without the server: others then ask the store.

The new test failed before (Address already in use); test_shared_values passes with 9 tests.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -183,7 +183,8 @@
         self._watcher.start()
         self._transport.start()
         self._permits.desk.start()
-        self._value_server.start()
+        if self._value_server is not None:
+            self._value_server.start()
         self._status_server.start()
         self._caller_server.start()
         threading.Thread(
@@ -224,7 +225,8 @@
         self._transport.stop()
         self._caller_server.stop()
         self._status_server.stop()
-        self._value_server.stop()
+        if self._value_server is not None:
+            self._value_server.stop()
 
     def _announce_departure(self) -> None:
         try:
@@ -268,14 +270,27 @@
             shared=self._shared_values,
         )
 
-    def _make_value_server(self) -> GatewayServer:
-        return GatewayServer(
-            application=ValueApplication(self._shared_values, self._metrics),
-            addresses=[f"{self._boot.host}:{self._boot.peer_port}"],
-            threads=STATUS_THREADS,
-            is_leaving=lambda: False,
-            unanswered=UnansweredRequests(Metrics()),
-        )
+    def _make_value_server(self) -> GatewayServer | None:
+        """Return the server of large values, ``None`` if its port is occupied.
+
+        Notes
+        -----
+        The port is known to be free for datagrams only. Instances that get no value
+        here ask the store.
+        """
+        address = f"{self._boot.host}:{self._boot.peer_port}"
+        try:
+            return GatewayServer(
+                application=ValueApplication(self._shared_values, self._metrics),
+                addresses=[address],
+                threads=STATUS_THREADS,
+                is_leaving=lambda: False,
+                unanswered=UnansweredRequests(Metrics()),
+            )
+        except OSError as error:
+            self._metrics.count("value_server_failures")
+            log.error("values are not served at {}: {}", address, error)
+            return None
 
     def _make_permits(self) -> PermitClient:
         list_available = self._selector.list_available
--- a/tests/gateway/test_shared_values.py
+++ b/tests/gateway/test_shared_values.py
@@ -8,7 +8,8 @@
 import socket
 import unittest
 
-from fescueflow.core import Revision
+from fescueflow.core import Revision, SeededRandomSource, SystemClock
+from fescueflow.gateway import Gateway
 from fescueflow.gateway.server import GatewayServer
 from fescueflow.gateway.shared_values import (
     SharedValue,
@@ -19,7 +20,8 @@
 from fescueflow.gateway.value_reader import ReaderValues, is_worthwhile
 from fescueflow.metrics import Metrics
 from fescueflow.platform import StoreItem
-from tests.gateway.builders import make_peer
+from tests.gateway.builders import make_boot, make_peer
+from tests.standins.fleet import find_free_port
 
 KEY = "op/config"
 LARGE = b'{"routes":[' + b'{"prefix":"/a/","timeout_ms":1000},' * 200 + b"{}]}"
@@ -124,5 +126,21 @@
         self.assertIsNone(self.read(1))
 
 
+class OccupiedPortTest(unittest.TestCase):
+    """Guards against an instance that doesn't start because of another's port."""
+
+    def test_start_without_the_value_server(self):
+        names = ("peer_port", "callers", "ready", "directory", "store")
+        ports = {name: find_free_port("127.0.0.1") for name in names}
+        with socket.socket() as occupant:
+            occupant.bind(("127.0.0.1", ports["peer_port"]))
+            occupant.listen()
+            boot = make_boot(grace_s=0.2, **ports)
+            gateway = Gateway(boot, SystemClock(), SeededRandomSource(1))
+            gateway.start()
+            gateway.leave()
+        self.assertEqual(gateway._metrics.get_count("value_server_failures"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
