Bound reads of large values to 0.4 s and answers to 4 at a time

A read could take 1 s before the store was asked. The reader's link passed any number of answers at once, so that all of them were late together. The read now ends 0.4 s after the connection, and a reader with 4 answers under way refuses further requests at once, so that the store is asked. An answer counts until the server closes its body; the server has threads for as many refusals.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -51,7 +51,11 @@
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
-from fescueflow.gateway.shared_values import SharedValues, ValueApplication
+from fescueflow.gateway.shared_values import (
+    ANSWERS_MAX,
+    SharedValues,
+    ValueApplication,
+)
 from fescueflow.gateway.unanswered import UnansweredRequests
 from fescueflow.gateway.value_reader import ReaderValues
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
@@ -71,6 +75,8 @@
 # Limit for a complete response of the store.
 STORE_CALL_TIMEOUT_S = 3.0
 EXIT_INVALID = 2
+# Those of the answers at a time, and as many that refuse further requests at once.
+VALUE_THREADS = 2 * ANSWERS_MAX
 # The second one reloads the settings.
 SIGNALS = frozenset({signal.SIGTERM, signal.SIGHUP})
 # Settings that a running process reloads; addresses and names need a restart.
@@ -283,7 +289,7 @@
             return GatewayServer(
                 application=ValueApplication(self._shared_values, self._metrics),
                 addresses=[address],
-                threads=STATUS_THREADS,
+                threads=VALUE_THREADS,
                 is_leaving=lambda: False,
                 unanswered=UnansweredRequests(Metrics()),
             )
--- a/src/fescueflow/gateway/shared_values.py
+++ b/src/fescueflow/gateway/shared_values.py
@@ -8,7 +8,7 @@
 
 import threading
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
@@ -27,6 +27,12 @@
 COMPRESSION_LEVEL = 1
 # Values that are kept; the store has one large one, the configuration.
 VALUES_MAX = 8
+# Answers at a time. More would delay each other on the reader's link until the reads
+# end without a value; the store serves the rest.
+ANSWERS_MAX = 4
+# Parts in which an answer is passed to the server, which waits between two parts while
+# it holds too much that is not taken yet.
+PART_BYTES = 1 << 16
 
 
 @dataclass
@@ -79,6 +85,31 @@
     return compressor.compress(value) + compressor.flush()
 
 
+class CountedAnswer:
+    """Body of an answer; calls back once when the server has passed it on.
+
+    Parameters
+    ----------
+    body : bytes
+    on_close : callable
+    """
+
+    def __init__(self, body: bytes, on_close: Callable[[], None]) -> None:
+        self._body = body
+        self._on_close = on_close
+        self._is_closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        for start in range(0, len(self._body), PART_BYTES):
+            yield self._body[start : start + PART_BYTES]
+
+    def close(self) -> None:
+        """Count the answer as ended; servers call this whatever has happened."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._on_close()
+
+
 class ValueApplication:
     """WSGI application that serves values to other instances.
 
@@ -95,6 +126,7 @@
     def __init__(self, values: SharedValues, metrics: Metrics) -> None:
         self._values = values
         self._metrics = metrics
+        self._free_answers = threading.Semaphore(ANSWERS_MAX)
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -105,18 +137,32 @@
             key = parse_qs(environ.get("QUERY_STRING", "")).get("key", [""])[0]
             shared = self._values.find(key)
         if shared is None or shared.compressed is None:
-            start_response("404 Not Found", [("Content-Length", "0")])
-            return [b""]
+            return refuse(start_response)
+        if not self._free_answers.acquire(blocking=False):
+            return refuse(start_response)
+        answer = CountedAnswer(shared.compressed, self._free_answers.release)
+        try:
+            start_response("200 OK", self._make_headers(shared))
+        except Exception:
+            answer.close()
+            raise
         self._metrics.count("values_served")
-        headers = [
+        return answer
+
+    def _make_headers(self, shared: SharedValue) -> list[tuple[str, str]]:
+        return [
             ("Content-Type", "application/octet-stream"),
             ("Content-Encoding", "gzip"),
-            ("Content-Length", str(len(shared.compressed))),
+            ("Content-Length", str(len(shared.compressed or b""))),
             (REVISION_HEADER, str(shared.revision)),
             (ERA_HEADER, str(shared.era)),
         ]
-        start_response("200 OK", headers)
-        return [shared.compressed]
+
+
+def refuse(start_response: Callable[..., Any]) -> Iterable[bytes]:
+    """Answer that there is no value here; the other instance asks the store."""
+    start_response("404 Not Found", [("Content-Length", "0")])
+    return [b""]
 
 
 __all__ = [
--- a/src/fescueflow/gateway/value_reader.py
+++ b/src/fescueflow/gateway/value_reader.py
@@ -24,10 +24,11 @@
     read_url,
 )
 
-# Limits of a read. The store is asked after it, and both together must be well below
-# the time in which a configuration must be in force.
+# Limits of a read; the total counts from the connection on. The store is asked after
+# it, and both together must be well below the time in which a configuration must be in
+# force.
 READ_LIMITS = Limits(
-    connect_s=0.2, read_timeout_s=0.4, total_s=0.8, body_bytes=STORE_RESPONSE_BYTES_MAX
+    connect_s=0.2, read_timeout_s=0.4, total_s=0.4, body_bytes=STORE_RESPONSE_BYTES_MAX
 )
 
 log = logbook.Logger("values")
--- a/tests/gateway/test_shared_values.py
+++ b/tests/gateway/test_shared_values.py
@@ -12,12 +12,14 @@
 from fescueflow.gateway import Gateway
 from fescueflow.gateway.server import GatewayServer
 from fescueflow.gateway.shared_values import (
+    ANSWERS_MAX,
+    VALUES_PATH,
     SharedValue,
     SharedValues,
     ValueApplication,
 )
 from fescueflow.gateway.unanswered import UnansweredRequests
-from fescueflow.gateway.value_reader import ReaderValues, is_worthwhile
+from fescueflow.gateway.value_reader import READ_LIMITS, ReaderValues, is_worthwhile
 from fescueflow.metrics import Metrics
 from fescueflow.platform import StoreItem
 from tests.gateway.builders import make_boot, make_peer
@@ -126,6 +128,41 @@
         self.assertIsNone(self.read(1))
 
 
+class AnswersTest(unittest.TestCase):
+    """Guards against a reader whose link passes so many answers that all are late."""
+
+    def setUp(self):
+        self.values = SharedValues()
+        self.values.record([StoreItem(KEY, LARGE, Revision(5))])
+        self.application = ValueApplication(self.values, Metrics())
+
+    def ask(self, key=KEY, host="127.0.0.1"):
+        """Return the status and the body that the server takes."""
+        statuses = []
+        environ = {
+            "PATH_INFO": VALUES_PATH,
+            "QUERY_STRING": f"key={key}",
+            "REMOTE_ADDR": host,
+        }
+        body = self.application(environ, lambda status, _: statuses.append(status))
+        return int(statuses[0][:3]), body
+
+    def test_answers_at_a_time(self):
+        answers = [self.ask() for _ in range(ANSWERS_MAX + 1)]
+        self.assertEqual([s for s, _ in answers], [200] * ANSWERS_MAX + [404])
+        body = answers[0][1]
+        self.assertEqual(b"".join(body), self.values.find(KEY).compressed)
+        self.assertEqual(self.ask()[0], 404)
+        body.close()
+        body.close()
+        self.assertEqual([self.ask()[0], self.ask()[0]], [200, 404])
+
+    def test_time_of_a_read(self):
+        """The store's call, of up to 0.7 s without an answer, comes after it."""
+        self.assertLessEqual(READ_LIMITS.connect_s, 0.2)
+        self.assertLessEqual(READ_LIMITS.total_s, 0.4)
+
+
 class OccupiedPortTest(unittest.TestCase):
     """Guards against an instance that doesn't start because of another's port."""
 
