Note a deletion in the memory of eras while its removal is pending

After an outage or a new era, a deletion takes effect after 2 s, and only then was the upstream noted as gone. A further era within these 2 s whose copy lists the upstream brought it back for good. A deletion is now noted when it is heard. An upstream that a complete read lacks is noted only when it is removed, as before: the copy may lack an upstream that runs.

--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -189,13 +189,25 @@
             return restarted
 
     def remove_upstream(self, upstream: UpstreamId, now: float) -> bool:
-        """Remove an upstream; return whether the removal takes effect at once."""
+        """Remove an upstream whose entry is deleted; return whether it is at once.
+
+        Notes
+        -----
+        A removal that waits for the end of the grace period is noted already: a copy
+        of the store in a further era must not undo it.
+        """
         with self._lock:
-            if now < self._grace_until and upstream in self._upstreams:
-                self._pending_removals.setdefault(upstream, self._grace_until)
-                return False
-            self._drop(upstream)
-            return True
+            known = self._upstreams.get(upstream)
+            if known is not None:
+                self._memory.record_removed(known)
+            return self._remove(upstream, now)
+
+    def _remove(self, upstream: UpstreamId, now: float) -> bool:
+        if now < self._grace_until and upstream in self._upstreams:
+            self._pending_removals.setdefault(upstream, self._grace_until)
+            return False
+        self._drop(upstream)
+        return True
 
     def _drop(self, upstream: UpstreamId) -> None:
         self._pending_removals.pop(upstream, None)
@@ -208,8 +220,10 @@
         found = {u.id: u for u in upstreams if not self.is_gone(u)}
         for upstream in found.values():
             self.put_upstream(upstream)
-        for missing in self._upstreams.keys() - found.keys():
-            self.remove_upstream(missing, now)
+        with self._lock:
+            for missing in self._upstreams.keys() - found.keys():
+                # Not a deletion: the copy of an era may lack an upstream that runs.
+                self._remove(missing, now)
 
     def remove_overdue(self, now: float) -> list[UpstreamId]:
         """Remove and return upstreams whose entries did not return in time.
--- a/tests/gateway/test_era_memory.py
+++ b/tests/gateway/test_era_memory.py
@@ -62,6 +62,23 @@
         self.state.put_upstream(replace(self.first, sequence=6))
         self.assertEqual(self.list_names(), {"u1", "u2"})
 
+    def test_two_eras_while_a_removal_is_pending(self):
+        """Guards against a copy that brings back an upstream for good."""
+        self.start_era(self.first, self.second)
+        self.assertFalse(self.state.remove_upstream("u1", ERA_AT + 0.5))
+        self.start_era(self.first, self.second, after_s=1.0)
+        self.assertEqual(self.list_names(RECOVERY_GRACE_S), {"u2"})
+        self.start_era(self.first, self.second, after_s=1.5)
+        self.assertEqual(self.list_names(RECOVERY_GRACE_S), {"u2"})
+        self.state.put_upstream(replace(self.first, sequence=6))
+        self.assertEqual(self.list_names(RECOVERY_GRACE_S), {"u1", "u2"})
+
+    def test_two_copies_of_which_the_first_lacks_an_upstream(self):
+        """Guards against the removal of an upstream that runs."""
+        self.start_era(self.second)
+        self.start_era(self.first, self.second, after_s=1.0)
+        self.assertEqual(self.list_names(RECOVERY_GRACE_S), {"u1", "u2"})
+
     def test_start_that_was_replaced_is_gone(self):
         """Guards against requests for the former start of an upstream."""
         self.state.put_upstream(replace(self.first, started_at_ms=2, sequence=1))
