Tell how far the state of the instance that serves a value is complete

A follower asks for the revision of the update that left the value out. If the configuration was batched with later changes, its own revision is lower, and the reader's value counted as outdated. The format of updates cannot carry revisions of keys for older versions, so the answer names the revision up to which the state of the reader is complete (Fescueflow-Complete), and the value is used if that is at least the noted one. For this, small values from updates and deletions that a read shows are recorded too, with their revisions, so that a response that was on its way cannot bring back an older value. Only the configuration is kept.

--- a/src/fescueflow/gateway/shared_values.py
+++ b/src/fescueflow/gateway/shared_values.py
@@ -16,17 +16,19 @@
 from fescueflow.core import Revision
 from fescueflow.gateway.relay import VALUE_BYTES_MAX
 from fescueflow.metrics import Metrics
-from fescueflow.platform import StoreItem
+from fescueflow.platform import TABLE_KEY, StoreItem
 
 VALUES_PATH = "/values"
 REVISION_HEADER = "Fescueflow-Revision"
 ERA_HEADER = "Fescueflow-Era"
+# Revision up to which the state of the instance that answers is complete.
+COMPLETE_HEADER = "Fescueflow-Complete"
 # Selects the gzip format: 16 plus the maximum window size of 15 bits.
 GZIP_WINDOW_BITS = 31
 # Fast compression: configurations shrink to about a tenth at any level.
 COMPRESSION_LEVEL = 1
-# Values that are kept; the store has one large one, the configuration.
-VALUES_MAX = 8
+# Keys whose values are kept; the store has one large value, the configuration.
+SHARED_KEYS = frozenset({TABLE_KEY})
 # Answers at a time. More would delay each other on the reader's link until the reads
 # end without a value; the store serves the rest.
 ANSWERS_MAX = 4
@@ -37,11 +39,16 @@
 
 @dataclass
 class SharedValue:
-    """A value of the store; it is compressed when it is first asked for."""
+    """A value of the store; it is compressed when it is first asked for.
+
+    ``value`` is ``None`` if it is deleted or too small to be shared. ``complete`` is
+    the revision up to which no later value of the key exists.
+    """
 
     revision: Revision
     era: int
-    value: bytes
+    value: bytes | None
+    complete: Revision
     compressed: bytes | None = None
 
 
@@ -52,29 +59,49 @@
         self._lock = threading.Lock()
         self._values: dict[str, SharedValue] = {}
 
+    def record_complete(self, revision: Revision, era: int) -> None:
+        """Note that the last values up to a revision of an era are recorded."""
+        with self._lock:
+            for shared in self._values.values():
+                if shared.era == era:
+                    shared.complete = max(shared.complete, revision)
+
     def record(self, items: Iterable[StoreItem], era: int = 0) -> None:
-        """Store the large values among items, and forget those that others replace."""
+        """Store the last large values among items that are shared.
+
+        Notes
+        -----
+        Of a small or deleted value, the revision is kept: a response that was on its
+        way meanwhile must not bring back the value before.
+        """
         with self._lock:
             for item in items:
-                self._record(item, era)
+                if item.key in SHARED_KEYS:
+                    self._record(item, era)
 
     def _record(self, item: StoreItem, era: int) -> None:
+        if not item.revision:
+            # The order is not known, and the item may be newer.
+            self._values.pop(item.key, None)
+            return
         known = self._values.get(item.key)
-        # Without a revision, the order is not known, and the item may be newer.
-        if known and item.revision:
-            if (known.era, known.revision) >= (era, item.revision):
-                return
-        self._values.pop(item.key, None)
+        if known and (known.era, known.revision) >= (era, item.revision):
+            return
         value = item.value or b""
-        is_kept = len(value) > VALUE_BYTES_MAX and item.revision
-        if is_kept and len(self._values) < VALUES_MAX:
-            self._values[item.key] = SharedValue(item.revision, era, value)
+        self._values[item.key] = SharedValue(
+            revision=item.revision,
+            era=era,
+            value=value if len(value) > VALUE_BYTES_MAX else None,
+            complete=item.revision,
+        )
 
     def find(self, key: str) -> SharedValue | None:
         """Return a value with its compressed form, ``None`` if it is not known."""
         with self._lock:
             shared = self._values.get(key)
-        if shared is not None and shared.compressed is None:
+        if shared is None or shared.value is None:
+            return None
+        if shared.compressed is None:
             shared.compressed = compress(shared.value)
         return shared
 
@@ -156,6 +183,7 @@
             ("Content-Length", str(len(shared.compressed or b""))),
             (REVISION_HEADER, str(shared.revision)),
             (ERA_HEADER, str(shared.era)),
+            (COMPLETE_HEADER, str(shared.complete)),
         ]
 
 
@@ -166,8 +194,11 @@
 
 
 __all__ = [
+    "ANSWERS_MAX",
+    "COMPLETE_HEADER",
     "ERA_HEADER",
     "REVISION_HEADER",
+    "SHARED_KEYS",
     "VALUES_PATH",
     "SharedValues",
     "ValueApplication",
--- a/src/fescueflow/gateway/store_calls.py
+++ b/src/fescueflow/gateway/store_calls.py
@@ -1,12 +1,13 @@
 """Reads and watches of the store, and the time as of which their results hold."""
 
 import math
+from collections.abc import Iterable
 
 from fescueflow.core import Clock, Revision, StoreEra
-from fescueflow.gateway.shared_values import SharedValues
+from fescueflow.gateway.shared_values import SHARED_KEYS, SharedValues
 from fescueflow.gateway.value_reader import ValueSource
 from fescueflow.metrics import Metrics
-from fescueflow.platform import StoreClient, StoreResult
+from fescueflow.platform import StoreClient, StoreItem, StoreResult
 
 # Longest wait of a watch call, and the longest silence of the store beyond it. Their
 # sum bounds how long a stalled connection delays changes; it must be well below the
@@ -69,7 +70,7 @@
         started_at = self._clock.monotonic()
         self._metrics.count("store_calls", kind="read" if revision is None else "watch")
         if revision is None:
-            return self._share(self._client.read(ALL_PREFIXES)), started_at
+            return self._read(ALL_PREFIXES), started_at
         wait_s = CHECK_TIMEOUT_S if is_follower else WATCH_TIMEOUT_S
         result = self._share(self._client.watch(ALL_PREFIXES, revision, wait_s))
         waited_s = 0.0 if result.items else wait_s
@@ -78,7 +79,15 @@
     def fetch(self, key: str) -> StoreResult:
         """Read the last value of a key, among those of keys that begin with it."""
         self._metrics.count("store_calls", kind="fetch")
-        return self._share(self._client.read(key))
+        return self._read(key)
+
+    def _read(self, prefix: str) -> StoreResult:
+        result = self._client.read(prefix)
+        found = {item.key for item in result.items}
+        missing = [k for k in SHARED_KEYS - found if k.startswith(prefix)]
+        deleted = [StoreItem(key, None, result.revision) for key in missing]
+        self.record_items(deleted, result.era)
+        return self._share(result)
 
     def read_shared(
         self, key: str, noted: Revision, era: StoreEra
@@ -100,6 +109,16 @@
             return None
         return self._share(StoreResult((item,), item.revision, era))
 
+    def record_items(self, items: Iterable[StoreItem], era: StoreEra) -> None:
+        """Note what another instance has told, which may replace large values."""
+        if self._shared is not None:
+            self._shared.record(items, era)
+
+    def record_complete(self, revision: Revision | None, era: StoreEra) -> None:
+        """Note that the state lacks no change up to a revision."""
+        if self._shared is not None and revision is not None:
+            self._shared.record_complete(revision, era)
+
     def _share(self, result: StoreResult) -> StoreResult:
         if self._shared is not None:
             self._shared.record(result.items, result.era)
--- a/src/fescueflow/gateway/value_reader.py
+++ b/src/fescueflow/gateway/value_reader.py
@@ -10,6 +10,7 @@
 from fescueflow.gateway.active_set import REQUESTS_PER_INSTANCE
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.shared_values import (
+    COMPLETE_HEADER,
     ERA_HEADER,
     REVISION_HEADER,
     VALUES_PATH,
@@ -39,13 +40,14 @@
 
     @abstractmethod
     def read(self, key: str, revision: Revision, era: int) -> StoreItem | None:
-        """Return an entry of a revision or a later one, ``None`` if it has none.
+        """Return the last entry as of a revision or a later one, ``None`` without it.
 
         Parameters
         ----------
         key : str
         revision : Revision
-            Lowest revision of the entry.
+            Lowest revision up to which there must be no later entry of the key. The
+            entry's own may be lower.
         era : int
             Era of the store that the revision belongs to.
         """
@@ -106,12 +108,15 @@
         try:
             response = read_url(url, READ_LIMITS, self._connect)
             found_revision = int(response.headers.get(REVISION_HEADER, 0))
+            complete = int(response.headers.get(COMPLETE_HEADER, found_revision))
             found_era = int(response.headers.get(ERA_HEADER, 0))
         except (PlatformUnavailable, ValueError) as error:
             self._metrics.count("values_read", end="failed")
             log.info("value not read from {}: {}", reader.instance, error)
             return None
-        if response.status != 200 or found_era != era or found_revision < revision:
+        # The noted revision may be that of another change of the same update.
+        reached = max(found_revision, complete)
+        if response.status != 200 or found_era != era or reached < revision:
             self._metrics.count("values_read", end="outdated")
             log.info(
                 "value of another revision",
@@ -120,6 +125,7 @@
                     "reader": str(reader.instance),
                     "status": response.status,
                     "found": found_revision,
+                    "complete": complete,
                     "wanted": revision,
                 },
             )
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -212,6 +212,7 @@
 
     def _apply_update(self, update: StoreUpdate) -> None:
         self._applier.apply(update.items or ())
+        self._caller.record_items(update.items or (), update.era)
         self._revision = update.revision
         self._metrics.count("store_updates")
         if update.omitted:
@@ -398,6 +399,7 @@
     def _mark_current(self) -> None:
         """Record that the whole state is current, unless a change is known to miss."""
         if self._is_complete():
+            self._caller.record_complete(self._revision, self._eras.era)
             self._platform_state.mark_current(self._contact.responded_at)
 
     def _is_complete(self) -> bool:
--- a/tests/gateway/test_shared_values.py
+++ b/tests/gateway/test_shared_values.py
@@ -63,6 +63,15 @@
         self.record(6, b"small")
         self.assertIsNone(self.find_revision())
 
+    def test_response_that_is_overtaken_by_a_small_value(self):
+        """Guards against an old value that is served as the last one."""
+        for value in (None, b"small"):
+            with self.subTest(value=value):
+                self.setUp()
+                self.record(8, value)
+                self.record(5)
+                self.assertIsNone(self.find_revision())
+
     def test_compression(self):
         self.record(5)
         shared = self.values.find(KEY)
@@ -122,6 +131,16 @@
         self.assertIsNone(self.read(8, 1))
         self.assertIsNone(self.read(7, 2))
 
+    def test_value_that_was_batched_with_later_changes(self):
+        """Guards against a value that counts as outdated: the update is later."""
+        self.serve()
+        self.values.record([StoreItem(KEY, LARGE, Revision(7))], 1)
+        self.values.record_complete(Revision(9), 0)
+        self.assertIsNone(self.read(9, 1))
+        self.values.record_complete(Revision(9), 1)
+        self.assertEqual(self.read(9, 1), StoreItem(KEY, LARGE, Revision(7)))
+        self.assertIsNone(self.read(10, 1))
+
     def test_reader_that_is_gone(self):
         self.assertIsNone(self.read(1))
         self.reader = None
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -8,12 +8,12 @@
     Revision,
     SeededRandomSource,
     StoreEra,
-    ZoneId,
 )
 from fescueflow.gateway.changes import OperatorChangeHandler, UpstreamChangeHandler
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import RECOVERY_GRACE_S, PlatformState
 from fescueflow.gateway.relay import Role, StoreRelay, StoreUpdate
+from fescueflow.gateway.shared_values import SharedValues
 from fescueflow.gateway.store_calls import SHARED_PAUSE_S
 from fescueflow.gateway.value_reader import ValueSource
 from fescueflow.gateway.watching import StoreWatcher
@@ -22,6 +22,7 @@
 from tests.fakes import FakeClock
 from tests.gateway.builders import make_peer
 from tests.gateway.fake_servers import encode
+from tests.gateway.store_fleet import make_configuration
 from tests.routing.builders import ENGINES
 
 HEARTBEAT_S = 1.2
@@ -42,15 +43,16 @@
     return StoreItem(f"servers/{name}", encode({**entry, **changes}))
 
 
-def make_update(base, revision, omitted=(), era=0):
+def make_update(base, revision, omitted=(), era=0, items=()):
     """Return an update of the reader of a zone."""
     return StoreUpdate(
         InstanceId("edge-9"),
-        ZoneId("a"),
+        make_peer().zone,
         Role.READER,
         Revision(base),
         Revision(revision),
         0.0,
+        items=tuple(items),
         omitted=tuple(omitted),
         era=StoreEra(era),
     )
@@ -163,6 +165,7 @@
         """Start a follower that has read the store once."""
         self.clock, self.values = InstantClock(), ListedValues(values or {})
         self.state, self.metrics = PlatformState(), Metrics()
+        self.shared = SharedValues()
         self.relay = StoreRelay(
             peers=PeerTable(make_peer()),
             send=lambda host, data: None,
@@ -179,13 +182,14 @@
             metrics=self.metrics,
             relay=self.relay,
             values=self.values,
+            shared=self.shared,
         )
         self.watcher.run_once()
         self.relay.role = Role.FOLLOWER
 
-    def announce(self, *keys, revision):
+    def announce(self, *keys, revision, items=()):
         base = self.watcher.revision
-        update = make_update(base, revision, omitted=keys)
+        update = make_update(base, revision, omitted=keys, items=items)
         self.watcher.handle_update(update)
         self.watcher.run_once()
 
@@ -216,6 +220,36 @@
         self.announce("op/a", "op/b", revision=2)
         self.assertEqual(self.values.asked, ["op/a"])
 
+    def test_complete_revision_of_a_served_value(self):
+        """Guards against an outdated value that is served as complete."""
+        large = StoreItem(TABLE_KEY, make_configuration(1), Revision(1))
+        later = StoreItem(TABLE_KEY, make_configuration(2), Revision(3))
+        self.start(ScriptedClient([large], *[[]] * 9), {TABLE_KEY: later})
+        self.announce(revision=2)
+        self.assertEqual(self.find_shared(), (1, 2))
+        update = make_update(2, 4, omitted=[TABLE_KEY])
+        self.watcher.handle_update(update)
+        self.assertEqual(self.find_shared(), (1, 2))
+        self.watcher.run_once()
+        self.assertEqual(self.find_shared(), (3, 4))
+        small = StoreItem(TABLE_KEY, b"{", Revision(5))
+        self.announce(revision=5, items=[small])
+        self.assertIsNone(self.find_shared())
+
+    def test_deleted_value_is_not_served(self):
+        """Guards against a complete read without a value that is still served."""
+        large = StoreItem(TABLE_KEY, make_configuration(1), Revision(1))
+        client = ScriptedClient([large])
+        client.watch = lambda *_: self.fail("unexpected call")
+        self.start(client)
+        client.read = lambda key: StoreResult((), Revision(4))
+        self.announce(TABLE_KEY, revision=4)
+        self.assertIsNone(self.find_shared())
+
+    def find_shared(self):
+        found = self.shared.find(TABLE_KEY)
+        return found and (found.revision, found.complete)
+
     def test_era_entered_just_before_the_wait_after_a_failure(self):
         """Guards against a follower that sleeps for seconds in a new era."""
         self.start(ScriptedClient([], PlatformUnavailable("silent")))
