Serve the configuration to known instances only

The server of large values answered any key and any host that reaches the port between instances, and a configuration has API keys. It answers only the key of the configuration, and only hosts of known instances. A follower connects from its own host, since a machine may have several addresses.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -57,7 +57,7 @@
     ValueApplication,
 )
 from fescueflow.gateway.unanswered import UnansweredRequests
-from fescueflow.gateway.value_reader import ReaderValues
+from fescueflow.gateway.value_reader import ReaderValues, connect_from
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -272,6 +272,7 @@
                 get_own=self._peers.get_own_record,
                 port=self._boot.peer_port,
                 metrics=self._metrics,
+                connect=partial(connect_from, self._boot.host),
             ),
             shared=self._shared_values,
         )
@@ -287,7 +288,9 @@
         address = f"{self._boot.host}:{self._boot.peer_port}"
         try:
             return GatewayServer(
-                application=ValueApplication(self._shared_values, self._metrics),
+                application=ValueApplication(
+                    self._shared_values, self._metrics, self._list_hosts
+                ),
                 addresses=[address],
                 threads=VALUE_THREADS,
                 is_leaving=lambda: False,
@@ -298,6 +301,11 @@
             log.error("values are not served at {}: {}", address, error)
             return None
 
+    def _list_hosts(self) -> set[str]:
+        """Return the hosts of the known instances, including this one."""
+        others = {peer.host for peer in self._peers.list_all()}
+        return others | {self._boot.host}
+
     def _make_permits(self) -> PermitClient:
         list_available = self._selector.list_available
         return PermitClient(
--- a/src/fescueflow/gateway/shared_values.py
+++ b/src/fescueflow/gateway/shared_values.py
@@ -8,7 +8,7 @@
 
 import threading
 import zlib
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
@@ -144,14 +144,23 @@
     ----------
     values : SharedValues
     metrics : Metrics
+    list_hosts : callable
+        Returns the hosts of the known instances.
 
     Notes
     -----
-    It listens on the ports between instances only: a configuration has API keys.
+    It listens on the ports between instances only, and answers only the hosts of known
+    instances: a configuration has API keys.
     """
 
-    def __init__(self, values: SharedValues, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        values: SharedValues,
+        metrics: Metrics,
+        list_hosts: Callable[[], Container[str]],
+    ) -> None:
         self._values = values
+        self._list_hosts = list_hosts
         self._metrics = metrics
         self._free_answers = threading.Semaphore(ANSWERS_MAX)
 
@@ -159,10 +168,7 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Handle one request."""
-        shared = None
-        if environ.get("PATH_INFO") == VALUES_PATH:
-            key = parse_qs(environ.get("QUERY_STRING", "")).get("key", [""])[0]
-            shared = self._values.find(key)
+        shared = self._find(environ)
         if shared is None or shared.compressed is None:
             return refuse(start_response)
         if not self._free_answers.acquire(blocking=False):
@@ -176,6 +182,14 @@
         self._metrics.count("values_served")
         return answer
 
+    def _find(self, environ: dict[str, Any]) -> SharedValue | None:
+        if environ.get("PATH_INFO") != VALUES_PATH:
+            return None
+        if environ.get("REMOTE_ADDR") not in self._list_hosts():
+            return None
+        key = parse_qs(environ.get("QUERY_STRING", "")).get("key", [""])[0]
+        return self._values.find(key) if key in SHARED_KEYS else None
+
     def _make_headers(self, shared: SharedValue) -> list[tuple[str, str]]:
         return [
             ("Content-Type", "application/octet-stream"),
--- a/src/fescueflow/gateway/value_reader.py
+++ b/src/fescueflow/gateway/value_reader.py
@@ -1,5 +1,6 @@
 """Reads large values of the store from the reader of the zone."""
 
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from urllib.parse import urlencode
@@ -67,6 +68,23 @@
     return reader.capacity >= REQUESTS_PER_INSTANCE > own.capacity > 0
 
 
+def connect_from(host: str, address: str, timeout_s: float) -> socket.socket:
+    """Open a connection to ``ip:port`` from a host of this machine.
+
+    Notes
+    -----
+    The reader answers only known hosts, and a machine may have several.
+
+    Raises
+    ------
+    OSError
+        If there is no connection within the timeout, in s.
+    """
+    name, _, port = address.rpartition(":")
+    target = name.strip("[]"), int(port)
+    return socket.create_connection(target, timeout_s, (host, 0))
+
+
 class ReaderValues(ValueSource):
     """Values that the reader of the zone serves.
 
@@ -134,4 +152,4 @@
         return StoreItem(key, response.body, Revision(found_revision))
 
 
-__all__ = ["ReaderValues", "ValueSource", "is_worthwhile"]
+__all__ = ["ReaderValues", "ValueSource", "connect_from", "is_worthwhile"]
--- a/tests/gateway/test_shared_values.py
+++ b/tests/gateway/test_shared_values.py
@@ -19,7 +19,12 @@
     ValueApplication,
 )
 from fescueflow.gateway.unanswered import UnansweredRequests
-from fescueflow.gateway.value_reader import READ_LIMITS, ReaderValues, is_worthwhile
+from fescueflow.gateway.value_reader import (
+    READ_LIMITS,
+    ReaderValues,
+    connect_from,
+    is_worthwhile,
+)
 from fescueflow.metrics import Metrics
 from fescueflow.platform import StoreItem
 from tests.gateway.builders import make_boot, make_peer
@@ -106,7 +111,9 @@
 
     def serve(self):
         server = GatewayServer(
-            application=ValueApplication(self.values, self.metrics),
+            application=ValueApplication(
+                self.values, self.metrics, lambda: {"127.0.0.1"}
+            ),
             addresses=[f"127.0.0.1:{self.port}"],
             threads=1,
             is_leaving=lambda: False,
@@ -151,9 +158,11 @@
     """Guards against a reader whose link passes so many answers that all are late."""
 
     def setUp(self):
-        self.values = SharedValues()
+        self.values, self.port = SharedValues(), find_free_port("127.0.0.1")
         self.values.record([StoreItem(KEY, LARGE, Revision(5))])
-        self.application = ValueApplication(self.values, Metrics())
+        self.application = ValueApplication(
+            self.values, Metrics(), lambda: {"127.0.0.1"}
+        )
 
     def ask(self, key=KEY, host="127.0.0.1"):
         """Return the status and the body that the server takes."""
@@ -176,6 +185,23 @@
         body.close()
         self.assertEqual([self.ask()[0], self.ask()[0]], [200, 404])
 
+    def test_other_keys_and_hosts(self):
+        """Guards against API keys that leave the fleet."""
+        self.values.record([StoreItem("op/other", LARGE, Revision(5))])
+        self.assertEqual(self.ask("op/other")[0], 404)
+        for host in ("127.0.0.2", "", None):
+            self.assertEqual(self.ask(host=host)[0], 404)
+        self.assertEqual(self.ask()[0], 200)
+
+    def test_own_address_of_a_connection(self):
+        """Guards against a refusal because of another address of the machine."""
+        with socket.create_server(("127.0.0.1", self.port)) as server:
+            address = f"127.0.0.1:{self.port}"
+            with connect_from("127.0.0.2", address, 1.0):
+                connection, (host, _) = server.accept()
+                connection.close()
+        self.assertEqual(host, "127.0.0.2")
+
     def test_time_of_a_read(self):
         """The store's call, of up to 0.7 s without an answer, comes after it."""
         self.assertLessEqual(READ_LIMITS.connect_s, 0.2)
