Test the reading of shared values in a fleet that follows the store

A follower that reads a configuration from its zone's reader makes no store call for it, also if the configuration is batched with a later change; one whose source fails as late as the limits allow has it from the store within 2 s. The fleet's instances have a ValueSource fake, which has nothing unless told so.

On scratch changes, without the complete revision or without the reads of the reader, the new tests fail.

--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -19,6 +19,8 @@
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.relay import Role, StoreRelay, decode_update
+from fescueflow.gateway.shared_values import SharedValues
+from fescueflow.gateway.value_reader import READ_LIMITS, ValueSource
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -191,6 +193,35 @@
         self._clock.sleep(ONE_WAY_S + self.answer_delay_s)
 
 
+class FleetValues(ValueSource):
+    """Values that an instance reads from the reader of its zone.
+
+    ``asked`` counts the reads; without ``is_served``, none of them has a value, as late
+    as the product's limits allow if ``is_slow``.
+    """
+
+    def __init__(self, fleet, relay, clock):
+        self._fleet, self._relay, self._clock = fleet, relay, clock
+        self.is_served = False
+        self.is_slow = False
+        self.asked = 0
+
+    def read(self, key, revision, era):
+        """Return what the reader serves when the request arrives."""
+        self.asked += 1
+        if self.is_slow:
+            self._clock.sleep(READ_LIMITS.connect_s + READ_LIMITS.total_s)
+        reader = self._relay.find_reader()
+        if reader is None or not self.is_served:
+            return None
+        self._clock.sleep(ONE_WAY_S)
+        shared = self._fleet.get_instance(reader.host).shared.find(key)
+        self._clock.sleep(ONE_WAY_S)
+        if shared is None or shared.era != era or shared.complete < revision:
+            return None
+        return StoreItem(key, shared.value, shared.revision)
+
+
 class StoreInstance:
     """One instance that follows the store."""
 
@@ -207,6 +238,8 @@
         )
         self.client = SimulatedClient(fleet.store, self.clock)
         self.metrics = Metrics()
+        self.shared = SharedValues()
+        self.values = FleetValues(fleet, self.relay, self.clock)
         self.watcher = StoreWatcher(
             client=self.client,
             handlers=[
@@ -219,6 +252,8 @@
             random_source=SeededRandomSource(seed),
             metrics=self.metrics,
             relay=self.relay,
+            values=self.values,
+            shared=self.shared,
         )
 
     def follow(self):
@@ -270,6 +305,10 @@
         for instance in self.instances:
             self.time.start(instance.name, instance.follow)
 
+    def get_instance(self, host):
+        """Return the instance of a host."""
+        return self._by_host[host]
+
     def add(self, instance):
         """Start a further instance."""
         self.instances.append(instance)
--- a/tests/gateway/test_late_configuration.py
+++ b/tests/gateway/test_late_configuration.py
@@ -12,6 +12,8 @@
 # Seeds of the drawn runs; ``python -m tests.gateway.random_store`` runs others.
 SEEDS = (*range(1, 6), 19, 26, 67)
 
+SHARED_SEEDS = (1, 2, 3, 4)
+
 
 class FleetTest(unittest.TestCase):
     """Starts fleets that follow a simulated store."""
@@ -68,6 +70,40 @@
                 self.check_in_force(fleet)
 
 
+class SharedValueTest(FleetTest):
+    """Guards against a wiring in which followers don't use the reader's values."""
+
+    def start(self, seed, **changes):
+        """Return a fleet and one of its followers, whose values are changed."""
+        fleet = self.make_fleet(seed, "ab", 4)
+        follower = fleet.random.choice(fleet.list_followers())
+        vars(follower.values).update(changes)
+        return fleet, follower
+
+    def test_no_store_call_for_a_value_of_the_reader(self):
+        for seed in SHARED_SEEDS:
+            for has_later_change in (False, True):
+                with self.subTest(seed=seed, has_later_change=has_later_change):
+                    fleet, follower = self.start(seed, is_served=True)
+                    calls = follower.client.calls
+                    version = fleet.put_configuration()
+                    if has_later_change:
+                        fleet.put_upstream()
+                    fleet.run(APPLY_S)
+                    self.assertEqual(follower.get_version(), version)
+                    self.assertEqual(follower.client.calls, calls)
+                    self.assertEqual(follower.values.asked, 1)
+
+    def test_store_is_asked_after_a_failed_read(self):
+        for seed in SHARED_SEEDS:
+            with self.subTest(seed=seed):
+                fleet, follower = self.start(seed, is_slow=True)
+                calls = follower.client.calls
+                self.check_in_force(fleet)
+                self.assertEqual(follower.values.asked, 1)
+                self.assertGreater(follower.client.calls, calls)
+
+
 class RandomRunTest(unittest.TestCase):
     """Guards against changes that are late, lost or undone where faults overlap."""
 
