--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -51,9 +51,13 @@
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
-from fescueflow.gateway.shared_values import SharedValues, ValueApplication
+from fescueflow.gateway.shared_values import (
+    ANSWERS_MAX,
+    SharedValues,
+    ValueApplication,
+)
 from fescueflow.gateway.unanswered import UnansweredRequests
-from fescueflow.gateway.value_reader import ReaderValues
+from fescueflow.gateway.value_reader import ReaderValues, connect_from
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
@@ -71,6 +75,8 @@
 # Limit for a complete response of the store.
 STORE_CALL_TIMEOUT_S = 3.0
 EXIT_INVALID = 2
+# Those of the answers at a time, and as many that refuse further requests at once.
+VALUE_THREADS = 2 * ANSWERS_MAX
 # The second one reloads the settings.
 SIGNALS = frozenset({signal.SIGTERM, signal.SIGHUP})
 # Settings that a running process reloads; addresses and names need a restart.
@@ -183,7 +189,8 @@
         self._watcher.start()
         self._transport.start()
         self._permits.desk.start()
-        self._value_server.start()
+        if self._value_server is not None:
+            self._value_server.start()
         self._status_server.start()
         self._caller_server.start()
         threading.Thread(
@@ -224,7 +231,8 @@
         self._transport.stop()
         self._caller_server.stop()
         self._status_server.stop()
-        self._value_server.stop()
+        if self._value_server is not None:
+            self._value_server.stop()
 
     def _announce_departure(self) -> None:
         try:
@@ -264,18 +272,39 @@
                 get_own=self._peers.get_own_record,
                 port=self._boot.peer_port,
                 metrics=self._metrics,
+                connect=partial(connect_from, self._boot.host),
             ),
             shared=self._shared_values,
         )
 
-    def _make_value_server(self) -> GatewayServer:
-        return GatewayServer(
-            application=ValueApplication(self._shared_values, self._metrics),
-            addresses=[f"{self._boot.host}:{self._boot.peer_port}"],
-            threads=STATUS_THREADS,
-            is_leaving=lambda: False,
-            unanswered=UnansweredRequests(Metrics()),
-        )
+    def _make_value_server(self) -> GatewayServer | None:
+        """Return the server of large values, ``None`` if its port is occupied.
+
+        Notes
+        -----
+        The port is known to be free for datagrams only. Instances that get no value
+        here ask the store.
+        """
+        address = f"{self._boot.host}:{self._boot.peer_port}"
+        try:
+            return GatewayServer(
+                application=ValueApplication(
+                    self._shared_values, self._metrics, self._list_hosts
+                ),
+                addresses=[address],
+                threads=VALUE_THREADS,
+                is_leaving=lambda: False,
+                unanswered=UnansweredRequests(Metrics()),
+            )
+        except OSError as error:
+            self._metrics.count("value_server_failures")
+            log.error("values are not served at {}: {}", address, error)
+            return None
+
+    def _list_hosts(self) -> set[str]:
+        """Return the hosts of the known instances, including this one."""
+        others = {peer.host for peer in self._peers.list_all()}
+        return others | {self._boot.host}
 
     def _make_permits(self) -> PermitClient:
         list_available = self._selector.list_available
--- a/src/fescueflow/gateway/value_reader.py
+++ b/src/fescueflow/gateway/value_reader.py
@@ -1,5 +1,6 @@
 """Reads large values of the store from the reader of the zone."""
 
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from urllib.parse import urlencode
@@ -10,6 +11,7 @@
 from fescueflow.gateway.active_set import REQUESTS_PER_INSTANCE
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.gateway.shared_values import (
+    COMPLETE_HEADER,
     ERA_HEADER,
     REVISION_HEADER,
     VALUES_PATH,
@@ -24,10 +26,11 @@
     read_url,
 )
 
-# Limits of a read. The store is asked after it, and both together must be well below
-# the time in which a configuration must be in force.
+# Limits of a read; the total counts from the connection on. The store is asked after
+# it, and both together must be well below the time in which a configuration must be in
+# force.
 READ_LIMITS = Limits(
-    connect_s=0.2, read_timeout_s=0.4, total_s=0.8, body_bytes=STORE_RESPONSE_BYTES_MAX
+    connect_s=0.2, read_timeout_s=0.4, total_s=0.4, body_bytes=STORE_RESPONSE_BYTES_MAX
 )
 
 log = logbook.Logger("values")
@@ -38,13 +41,14 @@
 
     @abstractmethod
     def read(self, key: str, revision: Revision, era: int) -> StoreItem | None:
-        """Return an entry of a revision or a later one, ``None`` if it has none.
+        """Return the last entry as of a revision or a later one, ``None`` without it.
 
         Parameters
         ----------
         key : str
         revision : Revision
-            Lowest revision of the entry.
+            Lowest revision up to which there must be no later entry of the key. The
+            entry's own may be lower.
         era : int
             Era of the store that the revision belongs to.
         """
@@ -64,6 +68,23 @@
     return reader.capacity >= REQUESTS_PER_INSTANCE > own.capacity > 0
 
 
+def connect_from(host: str, address: str, timeout_s: float) -> socket.socket:
+    """Open a connection to ``ip:port`` from a host of this machine.
+
+    Notes
+    -----
+    The reader answers only known hosts, and a machine may have several.
+
+    Raises
+    ------
+    OSError
+        If there is no connection within the timeout, in s.
+    """
+    name, _, port = address.rpartition(":")
+    target = name.strip("[]"), int(port)
+    return socket.create_connection(target, timeout_s, (host, 0))
+
+
 class ReaderValues(ValueSource):
     """Values that the reader of the zone serves.
 
@@ -105,12 +126,15 @@
         try:
             response = read_url(url, READ_LIMITS, self._connect)
             found_revision = int(response.headers.get(REVISION_HEADER, 0))
+            complete = int(response.headers.get(COMPLETE_HEADER, found_revision))
             found_era = int(response.headers.get(ERA_HEADER, 0))
         except (PlatformUnavailable, ValueError) as error:
             self._metrics.count("values_read", end="failed")
             log.info("value not read from {}: {}", reader.instance, error)
             return None
-        if response.status != 200 or found_era != era or found_revision < revision:
+        # The noted revision may be that of another change of the same update.
+        reached = max(found_revision, complete)
+        if response.status != 200 or found_era != era or reached < revision:
             self._metrics.count("values_read", end="outdated")
             log.info(
                 "value of another revision",
@@ -119,6 +143,7 @@
                     "reader": str(reader.instance),
                     "status": response.status,
                     "found": found_revision,
+                    "complete": complete,
                     "wanted": revision,
                 },
             )
@@ -127,4 +152,4 @@
         return StoreItem(key, response.body, Revision(found_revision))
 
 
-__all__ = ["ReaderValues", "ValueSource", "is_worthwhile"]
+__all__ = ["ReaderValues", "ValueSource", "connect_from", "is_worthwhile"]
--- a/src/fescueflow/gateway/watching.py
+++ b/src/fescueflow/gateway/watching.py
@@ -212,6 +212,7 @@
 
     def _apply_update(self, update: StoreUpdate) -> None:
         self._applier.apply(update.items or ())
+        self._caller.record_items(update.items or (), update.era)
         self._revision = update.revision
         self._metrics.count("store_updates")
         if update.omitted:
@@ -275,6 +276,9 @@
             self._clock.wait(self._eras.entered, delay_s)
             return
         self._is_behind.clear()
+        if self._eras.entered.is_set():
+            # The era was entered before the clear, which has undone its notice.
+            return
         self._was_hurried = self._clock.wait(self._is_behind, delay_s)
 
     def _is_follower(self) -> bool:
@@ -367,11 +371,16 @@
         Notes
         -----
         The notes stay until the values are known, so that the state does not count as
-        current while a call is on its way.
+        current while a call is on its way. Unreadable entries have no noted revision,
+        which any value of the reader would satisfy: the store is asked for them.
         """
+        may_share = True
         for key in keys:
             noted = self._missing.get_noted(key)
-            shared = self._caller.read_shared(key, noted, era)
+            shared = None
+            if noted and may_share:
+                shared = self._caller.read_shared(key, noted, era)
+                may_share = shared is not None
             result = shared or self._caller.fetch(key)
             if not self._era_changes.accepts(result, era, False):
                 return
@@ -390,6 +399,7 @@
     def _mark_current(self) -> None:
         """Record that the whole state is current, unless a change is known to miss."""
         if self._is_complete():
+            self._caller.record_complete(self._revision, self._eras.era)
             self._platform_state.mark_current(self._contact.responded_at)
 
     def _is_complete(self) -> bool:
