Test calls, notes and readers across eras more strictly

The one, not clearing the order of keys at the entry of an era, has no effect, since the read of all that follows clears it too.

--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -8,7 +8,13 @@
 
 from fescueflow.core import InstanceId, Revision, StoreEra, ZoneId
 from fescueflow.gateway.eras import READ_DELAY_MAX_S, UNCONFIRMED_MAX_S
-from fescueflow.gateway.relay import Role, StoreUpdate, decode_update, encode_update
+from fescueflow.gateway.relay import (
+    READER_TIMEOUT_S,
+    Role,
+    StoreUpdate,
+    decode_update,
+    encode_update,
+)
 from fescueflow.platform import TABLE_KEY, WITHDRAWN_PREFIX, StoreItem
 from tests.gateway.random_store import RandomRun
 from tests.gateway.store_fleet import (
@@ -89,7 +95,11 @@
                 instance.client.store = old
         self.store.restore(0.0)
         version = self.fleet.put_configuration()
+        calls = sum(i.client.calls for i in self.fleet.instances if i is not reader)
         self.fleet.run(2.0)
+        calls -= sum(i.client.calls for i in self.fleet.instances if i is not reader)
+        # After the first calls, pauses of 0.4 s or more on average.
+        self.assertLess(-calls, 10 * len(self.fleet.instances))
         self.assertEqual(self.get_eras(), {1})
         self.assertEqual(reader.get_version(), version)
         for instance in self.fleet.instances:
@@ -114,6 +124,16 @@
         self.fleet.put_upstream(born=2)
         self.check_agreement(1)
 
+    def test_notes_of_the_old_era(self):
+        """Guards against calls for changes that the store has lost."""
+        for instance in self.fleet.instances:
+            instance.watcher._missing.announce_keys(["other/x"], 10**6)
+        self.store.restore(0.0)
+        self.fleet.run(APPLY_S)
+        for instance in self.fleet.instances:
+            fetches = instance.metrics.get_count("store_calls", kind="fetch")
+            self.assertEqual((fetches, instance.watcher._missing.keys), (0, []))
+
     def test_reader_is_the_last_to_notice(self):
         """Guards against a zone that waits for its reader."""
         readers = [
@@ -123,6 +143,12 @@
             reader.client.refuse = True
         self.restore()
         version = self.fleet.put_configuration()
+        while self.get_eras() == {0}:
+            self.fleet.run(0.01)
+        self.fleet.run(0.02)
+        zones = [i.zone for i in self.fleet.instances if i.watcher._eras.era]
+        # One follower tells its whole zone, the reader too.
+        self.assertEqual(len(zones) % 3, 0)
         self.fleet.run(APPLY_S)
         self.assertEqual(self.get_eras(), {1})
         followers = {i.name for i in self.fleet.instances if i not in readers}
@@ -164,7 +190,10 @@
         self.fleet.run(APPLY_S)
         watcher = instance.watcher
         before = watcher.revision, watcher._missing.announced
+        self.fleet.time.now += READER_TIMEOUT_S
         watcher.handle_update(update)
+        self.assertTrue(instance.relay.is_zone_silent())
+        self.fleet.time.now -= READER_TIMEOUT_S
         self.assertEqual((watcher.revision, watcher._missing.announced), before)
         self.assertNotIn("z", instance.describe()[2])
         self.check_agreement(1)
