Log the end of a withdrawal that was not written again

A zone that a restored copy lacks was used again after evacuation_ms without a line. The texts of the new lines join the stable names.

Tested: tests.gateway.test_store_eras, test_era_memory, test_platform_state, test_imports (34 tests pass).

--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+import logbook
+
 from fescueflow.core import UpstreamId, ZoneId
 from fescueflow.gateway.era_memory import EraMemory
 from fescueflow.platform.boot import EVACUATION_S_DEFAULT
@@ -23,6 +25,9 @@
 STARTS_MAX = 4096
 
 
+log = logbook.Logger("store")
+
+
 class PlatformState:
     """Latest state read from the store; thread-safe.
 
@@ -224,7 +229,8 @@
 
     def _release_zones(self, now: float) -> None:
         if self._memory.release_overdue(now):
-            self._update_withdrawn(now)
+            restored = self._update_withdrawn(now)
+            log.info("withdrawal not written again: {}", sorted(restored))
 
     def list_upstreams(self, service: ServiceId, now: float) -> list[Upstream]:
         """Return the upstreams of a service that take new requests."""
