Accept heads of multipart answers

The email parser of http.client expects the parts of a multipart body behind the headers and reports a defect for each answer of such a type, although the body is read separately. check_framing took every defect for a malformed header and refused good multipart/byteranges answers.

Only defects of header lines count now, also that of an envelope line (From) between headers. The new test failed before; tests.http1.test_heads passes (9).

--- a/src/fescueflow/http1/heads.py
+++ b/src/fescueflow/http1/heads.py
@@ -1,5 +1,6 @@
 """Size-limited reader of HTTP/1.1 response heads (RFC 9112, section 2)."""
 
+import email.errors
 import http.client
 import io
 import re
@@ -19,6 +20,14 @@
 BARE_CR_PATTERN = re.compile(rb"\r(?!\n)")
 # Any length of fewer digits is below the size of a disk.
 LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
+# The email parser also misses the parts of a multipart body, which does not come with
+# the head. Only defects of the header lines count.
+HEADER_DEFECTS = (
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.InvalidHeaderDefect,
+    email.errors.MisplacedEnvelopeHeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+)
 
 
 class HeadSocket:
@@ -114,7 +123,8 @@
         the body, so that a cut body would look complete.
     """
     message = response.msg
-    if message.defects or not all(message.keys()):
+    is_malformed = any(isinstance(d, HEADER_DEFECTS) for d in message.defects)
+    if is_malformed or not all(message.keys()):
         raise http.client.HTTPException("malformed header")
     codings = message.get_all("Transfer-Encoding", [])
     if codings:
--- a/tests/http1/test_heads.py
+++ b/tests/http1/test_heads.py
@@ -81,6 +81,20 @@
             response = HeadReader().feed(head)
             self.assertEqual((response.length, response.chunked), (length, is_chunked))
 
+    def test_multipart_answer_with_a_length(self):
+        """Its body is not parsed with the head, and its absence is no defect."""
+        for kind in ("multipart/byteranges; boundary=x", "multipart/mixed"):
+            fields = f"Content-Type: {kind}\r\nContent-Length: 4"
+            head = f"HTTP/1.1 206 Partial Content\r\n{fields}\r\n\r\n".encode()
+            self.assertEqual(HeadReader().feed(head).length, 4)
+            for line in ("no field", ": no name", "From x"):
+                bad = fields.replace("\r\n", f"\r\n{line}\r\n")
+                self.check_refused(f"HTTP/1.1 206 OK\r\n{bad}\r\n\r\n".encode())
+                # The first line of the headers.
+                self.check_refused(
+                    f"HTTP/1.1 206 OK\r\n {line}\r\n{fields}\r\n\r\n".encode()
+                )
+
     def test_head_without_end(self):
         reader = HeadReader()
         reader.feed(b"HTTP/1.1 200 OK\r\n")
