Accept legal transfer codings that need no decoding

http.client does not recognise "chunked " with white space behind it, and check_framing refused every other coding, also `identity` beside a length and any coding of an answer that has no body (204, 304, HEAD).

White space at line ends is removed before parsing; a line of white space only stays, as it must not end the head. The other codings are accepted in these cases only.

--- a/src/fescueflow/http1/heads.py
+++ b/src/fescueflow/http1/heads.py
@@ -1,6 +1,7 @@
 """Size-limited reader of HTTP/1.1 response heads (RFC 9112, section 2)."""
 
 import email.errors
+import http
 import http.client
 import io
 import re
@@ -18,6 +19,14 @@
 SWITCHING_STATUS = 101
 # ``http.client`` takes it for the end of a line: a part of a value becomes a header.
 BARE_CR_PATTERN = re.compile(rb"\r(?!\n)")
+# White space after a value is no part of it (RFC 9112, section 5.1); ``http.client``
+# keeps it and then misses the coding "chunked ". A line of white space only stays, as
+# an empty one would end the head.
+TRAILING_SPACE_PATTERN = re.compile(rb"(?<=[^ \t\r\n])[ \t]+(?=\r?\n)")
+# Responses without a body, besides those to HEAD.
+BODILESS_STATUSES = frozenset(
+    {http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED}
+)
 # Any length of fewer digits is below the size of a disk.
 LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
 # The email parser also misses the parts of a multipart body, which does not come with
@@ -104,18 +113,23 @@
     """
     if BARE_CR_PATTERN.search(head):
         raise http.client.HTTPException("a carriage return inside a line")
-    source = HeadSocket(head)
+    source = HeadSocket(TRAILING_SPACE_PATTERN.sub(b"", head))
     response = http.client.HTTPResponse(source, method=method)  # type: ignore[arg-type]
     response.begin()
     if response.status == SWITCHING_STATUS:
         raise http.client.BadStatusLine("101 without a request for it")
-    check_framing(response)
+    check_framing(response, method)
     return response
 
 
-def check_framing(response: http.client.HTTPResponse) -> None:
+def check_framing(response: http.client.HTTPResponse, method: str | None) -> None:
     """Check that the headers say unmistakably where the body ends.
 
+    Notes
+    -----
+    A coding does not matter where no body follows. ``identity`` stands for no coding;
+    the length then shows the end.
+
     Raises
     ------
     http.client.HTTPException
@@ -127,7 +141,10 @@
     if is_malformed or not all(message.keys()):
         raise http.client.HTTPException("malformed header")
     codings = message.get_all("Transfer-Encoding", [])
-    if codings:
+    if codings and (method == "HEAD" or response.status in BODILESS_STATUSES):
+        return
+    is_identity = [coding.lower() for coding in codings] == ["identity"]
+    if codings and not (is_identity and "Content-Length" in message):
         if len(codings) > 1 or not response.chunked:
             raise http.client.UnknownTransferEncoding(repr(codings)[:80])
         return
--- a/tests/http1/test_heads.py
+++ b/tests/http1/test_heads.py
@@ -62,6 +62,10 @@
             "Content-Length: 4\r\nContent-Length: 5",
             "Transfer-Encoding: gzip, chunked",
             "Transfer-Encoding: identity",
+            "Transfer-Encoding: identity\r\nContent-Length: 4, 5",
+            "Transfer-Encoding: identity, chunked\r\nContent-Length: 4",
+            "Transfer-Encoding: chunked\r\n \r\nContent-Length: 4",
+            "Transfer-Encoding: gzip\r\nContent-Length: 4",
             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
             "no field\r\nContent-Length: 4",
             ": no name\r\nContent-Length: 4",
@@ -75,12 +79,32 @@
             ("Content-Length: 4\r\nContent-Length: 4", 4, False),
             ("Transfer-Encoding: Chunked", None, True),
             ("Transfer-Encoding: chunked\r\nContent-Length: 4", None, True),
+            ("Transfer-Encoding: chunked \t", None, True),
+            ("Transfer-Encoding: identity\r\nContent-Length: 4", 4, False),
+            ("Transfer-Encoding: Identity \r\nContent-Length: 4 ", 4, False),
             ("X-One: 1", None, False),
         ):
             head = f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\n".encode()
             response = HeadReader().feed(head)
             self.assertEqual((response.length, response.chunked), (length, is_chunked))
 
+    def test_codings_of_answers_without_a_body(self):
+        """Nothing follows the head, whatever coding a body would have had."""
+        for coding in ("chunked", "chunked ", "identity", "gzip, chunked", "gzip"):
+            for status, method in ((204, "GET"), (304, "GET"), (200, "HEAD")):
+                head = f"HTTP/1.1 {status} OK\r\nTransfer-Encoding: {coding}\r\n\r\n"
+                response = HeadReader(method).feed(head.encode())
+                self.assertEqual(response.length, 0)
+
+    def test_spaces_at_line_ends(self):
+        """They are no part of a value; a line of spaces does not end the head."""
+        reader = HeadReader()
+        response = reader.feed(
+            b"HTTP/1.1 200 OK \r\nX-One: a \t\r\n \r\nX-Two: b\r\n\r\n"
+        )
+        self.assertEqual(response.getheader("X-Two"), "b")
+        self.assertEqual(reader.unused_data, b"")
+
     def test_multipart_answer_with_a_length(self):
         """Its body is not parsed with the head, and its absence is no defect."""
         for kind in ("multipart/byteranges; boundary=x", "multipart/mixed"):
