Count a reset that a write has met as a cut response

After such a reset, reads see an orderly end. is_cut took it for the end of a body without a length or chunks, so that a silent attempt counted as going on and its replacement was given up.

The new test on a loopback connection failed before; tests.gateway.test_exchange_ends passes (2).

--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -221,7 +221,8 @@
 
         Notes
         -----
-        The end of a connection may be that of a body without a length or chunks.
+        The end of a connection may be that of a body without a length or chunks, unless
+        a write has met a reset.
         """
         try:
             if self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
@@ -231,7 +232,7 @@
         except OSError:
             return True
         has_length = self._decoder is not None or self._remaining_bytes is not None
-        return self._response is None or has_length
+        return self._response is None or has_length or self._is_reset
 
     def iterate_parts(
         self, deadline: float, get_limit: Callable[[], float] | None = None
