Count only successful answers as good during a ramp

An answer with a status of 400 to 499 raised the allowance, though an error is quick also where the upstream would be slow. A 429 was a failed attempt and cut the allowance before; a test shows that now.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -48,8 +48,9 @@
 ESTIMATE_TOLERANCE_REQUESTS = 3.0
 
 UNAVAILABLE_STATUS = 503
-# Lowest status that says nothing of how fast the upstream responds.
-SERVER_ERROR_MIN = 500
+# Lowest status that says nothing of how fast the upstream responds: an error is quick
+# also where the upstream would be slow.
+ERROR_STATUS_MIN = 400
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
@@ -406,7 +407,7 @@
 
     def record_begun(self, attempt: Attempt) -> None:
         """Record that an answer has begun."""
-        if attempt.exchange.status < SERVER_ERROR_MIN:
+        if attempt.exchange.status < ERROR_STATUS_MIN:
             seconds = self._clock.monotonic() - attempt.started_at
             self._selector.ramps.record_begun(
                 attempt.selection.upstream,
--- a/tests/gateway/test_ramp_signals.py
+++ b/tests/gateway/test_ramp_signals.py
@@ -29,15 +29,21 @@
 
     def call_until(self, event):
         """Call with one prompt part after another until a ramp has such an event."""
+        self.call_while(
+            lambda: event not in [found for _, found, _ in self.list_ramps()]
+        )
+
+    def call_while(self, condition):
+        """Call with one prompt part after another as long as a condition is true."""
         numbers = iter(range(10**6))
 
-        def has_event():
+        def has_ended():
             number = next(numbers)
             parts = {"X-Prefix-Hash": f"p{number}:900,q{number}:9"}
             self.call("/safe/1", headers={**parts, "X-Token-Count": "909,9"})
-            return event in [found for _, found, _ in self.list_ramps()]
+            return not condition()
 
-        self.wait_for(has_event)
+        self.wait_for(has_ended)
 
     def test_responses_end_it(self):
         self.set_script(*[lambda handler: handler.send_sealed()] * 3)
@@ -55,6 +61,23 @@
         expected = [("u3", "begin", None), ("u3", "cut", "refused")]
         self.assertEqual(self.list_ramps()[:2], expected)
 
+    def test_error_does_not_raise_it(self):
+        """An error is quick also where the upstream would be slow."""
+        for status in (404, 400, 501):
+            self.set_script(*[lambda h, status=status: h.send_sealed(status)] * 3)
+            count = self.count_arrivals()[2] + 2
+            self.call_while(lambda count=count: self.count_arrivals()[2] < count)
+        self.assertEqual(self.list_ramps(), [("u3", "begin", None)])
+
+    def test_too_many_requests_cuts_it(self):
+        self.set_script(
+            *[lambda handler: handler.send_sealed()] * 2,
+            lambda handler: handler.send_sealed(429),
+        )
+        self.call_until("cut")
+        expected = [("u3", "begin", None), ("u3", "cut", "server_error")]
+        self.assertEqual(self.list_ramps()[:2], expected)
+
     def test_silence_cuts_it(self):
         pause = lambda handler: (time.sleep(2.0), handler.send_sealed())  # noqa: E731
         self.set_script(*[lambda handler: handler.send_sealed()] * 2, pause)
