End each ramp at a fixed age, and slow cuts at the floor

Every cut renewed the 30 s after which a ramp ends. With one or two instances, an upstream that was always more than twice as slow had 1 or 2 open requests for as long as it was watched.

A ramp now ends when it is 30 s old, and slow responses cut nothing more at the lowest allowance. The new tests failed before, with 1.0 and 2.0 open requests instead of more than 14.4 (simulated time, one and two instances); tests.routing.test_ramp (11) and tests.gateway.test_ramps (10) pass.

--- a/src/fescueflow/gateway/ramps.py
+++ b/src/fescueflow/gateway/ramps.py
@@ -168,7 +168,10 @@
                 "usual_age_ms": None if age_s is None else round(age_s * 1000),
             }
             if is_slow(seconds, usual_s):
-                self._cut(upstream.id, "slow", sent_at, now, inputs)
+                if self._ramps.record_slow(upstream.id, sent_at, now):
+                    self._log(
+                        "cut", upstream.id, ramp, now, {"reason": "slow", **inputs}
+                    )
             elif self._ramps.record_good(upstream.id, sent_at):
                 self._end(upstream.id, RampEnd.REACHED, now, inputs)
 
@@ -176,7 +179,7 @@
         """Record a refusal, a silence or another failure of an attempt."""
         if len(self._ramps):
             with self._lock:
-                self._cut(upstream, reason, sent_at, self._clock.monotonic(), {})
+                self._cut(upstream, reason, sent_at, self._clock.monotonic())
 
     def retain(self, kept: set[UpstreamId]) -> None:
         """Forget upstreams that are not in ``kept``; begin and end what is due.
@@ -222,16 +225,11 @@
         self._log("begin", upstream.id, ramp, now, {"instances": instances})
 
     def _cut(
-        self,
-        upstream: UpstreamId,
-        reason: str,
-        sent_at: float,
-        now: float,
-        inputs: Mapping[str, int | None],
+        self, upstream: UpstreamId, reason: str, sent_at: float, now: float
     ) -> None:
         ramp = self._ramps.find(upstream)
         if ramp is not None and self._ramps.record_bad(upstream, sent_at, now):
-            self._log("cut", upstream, ramp, now, {"reason": reason, **inputs})
+            self._log("cut", upstream, ramp, now, {"reason": reason})
 
     def _end_elapsed(self, now: float) -> None:
         for upstream in self._ramps.list_elapsed(now):
--- a/src/fescueflow/routing/ramp.py
+++ b/src/fescueflow/routing/ramp.py
@@ -24,9 +24,9 @@
 # than the slack besides, in seconds: a few times the round trip between zones.
 SLOW_FACTOR = 2.0
 SLOW_SLACK_S = 0.02
-# Time since the begin or the last cut after which a ramp ends without more responses,
-# in seconds. Until then, an instance with few requests has heard from the reports of
-# others how much the upstream takes.
+# Age at which a ramp ends in any case, in seconds. Until then, an instance with few
+# requests has heard from the reports of others how much the upstream takes, and one
+# with many has seen whether it stays slow; placement then accounts for its speed.
 RAMP_MAX_S = 30.0
 # Bounds of the time for which a fractional allowance is drawn, in seconds. Requests
 # should last no longer than it, or those of several draws would add up.
@@ -184,9 +184,22 @@
         ramp.cut_at = now
         return True
 
+    def record_slow(self, upstream: UpstreamId, sent_at: float, now: float) -> bool:
+        """Halve the allowance after a slow response; return whether it was changed.
+
+        Notes
+        -----
+        An upstream that is still slow at the lowest allowance is not slow because of
+        this instance's requests. A further cut would only discard good responses.
+        """
+        ramp = self._ramps.get(upstream)
+        if ramp is None or ramp.allowance <= FLOOR_FRACTION * ramp.first:
+            return False
+        return self.record_bad(upstream, sent_at, now)
+
     def list_elapsed(self, now: float) -> list[UpstreamId]:
-        """Return the upstreams whose ramp has lasted for long without a cut."""
-        return [n for n, r in self._ramps.items() if now - r.cut_at >= RAMP_MAX_S]
+        """Return the upstreams whose ramp has lasted for as long as it may."""
+        return [n for n, r in self._ramps.items() if now - r.began_at >= RAMP_MAX_S]
 
 
 def is_slow(seconds: float, usual_s: float | None) -> bool:
--- a/tests/routing/ramp_fleet.py
+++ b/tests/routing/ramp_fleet.py
@@ -63,6 +63,9 @@
         for _ in range(round(seconds / STEP_S)):
             self.now += STEP_S
             self.end_requests()
+            for ramps in self.ramps:
+                for upstream in ramps.list_elapsed(self.now):
+                    ramps.end(upstream)
             counts = [0] * len(self.ramps)
             for entry in self.open:
                 counts[entry[0]] += 1
@@ -108,7 +111,7 @@
             if begun_at <= self.now:
                 entry[2] = float("inf")
                 if is_slow(begun_at - sent_at, USUAL_S):
-                    self.ramps[number].record_bad(UPSTREAM, sent_at, self.now)
+                    self.ramps[number].record_slow(UPSTREAM, sent_at, self.now)
                 elif self.ramps[number].record_good(UPSTREAM, sent_at):
                     self.ramps[number].end(UPSTREAM)
         self.open = [entry for entry in self.open if entry[3] > self.now]
--- a/tests/routing/test_ramp.py
+++ b/tests/routing/test_ramp.py
@@ -58,6 +58,25 @@
         # Its share is a third of the demand.
         self.assertGreater(sum(open_counts[-100:]) / 100, demand / 3)
 
+    def test_upstream_that_stays_slow(self):
+        """Each cut prolonged the ramp of an instance that has many requests."""
+        for instances in (1, 2):
+            with self.subTest(instances=instances):
+                fleet = RampFleet(instances, 450, 24, slowness=lambda now: 3.0)
+                open_counts = list(fleet.run(36.0))
+                self.assertGreater(sum(open_counts[-50:]) / 50, 0.6 * 24)
+
+    def test_slow_responses_at_the_lowest_allowance(self):
+        """They cut nothing more, so that a good response of that time counts."""
+        ramps = UpstreamRamps("i1")
+        ramp = ramps.begin(UPSTREAM, SERVICE, RampCause.START, 32, 1, 10.0)
+        cuts = [ramps.record_slow(UPSTREAM, 11.0 + n, 11.0 + n) for n in range(6)]
+        self.assertEqual((cuts, ramp.allowance), ([True] * 4 + [False] * 2, 0.5))
+        ramps.record_good(UPSTREAM, 15.0)
+        self.assertEqual(ramp.allowance, 1.0)
+        self.assertTrue(ramps.record_bad(UPSTREAM, 20.0, 20.0))
+        self.assertTrue(ramps.record_bad(UPSTREAM, 21.0, 21.0))
+
     def test_old_requests_neither_cut_nor_raise(self):
         ramps = UpstreamRamps("i1")
         ramp = ramps.begin(UPSTREAM, SERVICE, RampCause.START, 32, 1, 10.0)
