Let ramps keep what an upstream has shown

The end of the cold time replaced a ramp, or followed one that had passed, with the first allowance; an exclusion that one instance had seen took nearly its whole share of the load from the upstream, while the others went on.

A later cause replaces a running ramp only after trouble, except for a start. A ramp at the end of a cold time begins with what is open there, one after an exclusion or a pause with at least a quarter of the share. The four new tests failed before; tests.gateway.test_ramps (14) and tests.routing.test_ramp (11) pass.

--- a/src/fescueflow/gateway/ramps.py
+++ b/src/fescueflow/gateway/ramps.py
@@ -6,6 +6,7 @@
 import logbook
 
 from fescueflow.core import Clock, InstanceId, UpstreamId
+from fescueflow.gateway.loads import LoadTracker
 from fescueflow.gateway.peers import PeerTable
 from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.metrics import Metrics
@@ -16,6 +17,7 @@
     Ramp,
     RampCause,
     RampEnd,
+    ServiceId,
     Upstream,
     UpstreamRamps,
     is_slow,
@@ -36,6 +38,7 @@
     ----------
     own : InstanceId
     platform_state : PlatformState
+    loads : LoadTracker
     peers : PeerTable
     clock : Clock
     metrics : Metrics
@@ -46,11 +49,13 @@
         *,
         own: InstanceId,
         platform_state: PlatformState,
+        loads: LoadTracker,
         peers: PeerTable,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._platform_state = platform_state
+        self._loads = loads
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
@@ -59,11 +64,15 @@
         self._times = FirstEventTimes()
         # When a reason not to use an upstream fully will end.
         self._awaited: dict[tuple[UpstreamId, RampCause], float] = {}
+        # Open requests of each service's upstreams, on average.
+        self._means: dict[ServiceId, float] = {}
 
     def await_end(self, upstream: UpstreamId, cause: RampCause, until: float) -> None:
         """Begin a ramp at the end of an exclusion, a pause or a cold period."""
         with self._lock:
             self._awaited[upstream, cause] = until
+            if cause is not RampCause.COLD:
+                self._ramps.mark_troubled(upstream)
 
     def end_exclusion(self, upstream: UpstreamId) -> None:
         """Note that an excluded upstream has responded."""
@@ -103,6 +112,9 @@
         If all are in their ramp, or no other is left, the ramp is ignored.
         """
         with self._lock:
+            if placements:
+                service = placements[0].candidate.upstream.service
+                self._means[service] = bound.mean
             self._begin_due(now)
             if not len(self._ramps):
                 return placements
@@ -216,12 +228,23 @@
                     self._begin(listed[key[0]], key[1], now)
 
     def _begin(self, upstream: Upstream, cause: RampCause, now: float) -> None:
-        if self._ramps.find(upstream.id) is not None:
-            self._end(upstream.id, RampEnd.REPLACED, now, {})
+        if not self._ramps.may_begin(upstream.id, cause):
+            return
+        replaced = self._ramps.find(upstream.id)
         instances = self._peers.count_carrying(now)
+        own_running, _ = self._loads.list_own_loads().get(upstream.id, (0, 0))
         ramp = self._ramps.begin(
-            upstream.id, upstream.service, cause, upstream.slots, instances, now
+            upstream.id,
+            upstream.service,
+            cause,
+            upstream.slots,
+            instances,
+            now,
+            own_running=own_running,
+            share=self._means.get(upstream.service, 0.0) / instances,
         )
+        if replaced is not None:
+            self._record_end(upstream.id, replaced, RampEnd.REPLACED, now, {})
         self._log("begin", upstream.id, ramp, now, {"instances": instances})
 
     def _cut(
@@ -229,6 +252,7 @@
     ) -> None:
         ramp = self._ramps.find(upstream)
         if ramp is not None and self._ramps.record_bad(upstream, sent_at, now):
+            self._ramps.mark_troubled(upstream)
             self._log("cut", upstream, ramp, now, {"reason": reason})
 
     def _end_elapsed(self, now: float) -> None:
@@ -245,8 +269,18 @@
         ramp = self._ramps.find(upstream)
         if ramp is not None:
             self._ramps.end(upstream)
-            self._metrics.count("upstream_ramps", end=end.value)
-            self._log("end", upstream, ramp, now, {"reason": end.value, **inputs})
+            self._record_end(upstream, ramp, end, now, inputs)
+
+    def _record_end(
+        self,
+        upstream: UpstreamId,
+        ramp: Ramp,
+        end: RampEnd,
+        now: float,
+        inputs: Mapping[str, int | None],
+    ) -> None:
+        self._metrics.count("upstream_ramps", end=end.value)
+        self._log("end", upstream, ramp, now, {"reason": end.value, **inputs})
 
     def _log(
         self,
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -82,6 +82,7 @@
         self.ramps = RampTracker(
             own=boot.instance,
             platform_state=platform_state,
+            loads=loads,
             peers=peers,
             clock=clock,
             metrics=metrics,
--- a/src/fescueflow/routing/ramp.py
+++ b/src/fescueflow/routing/ramp.py
@@ -17,6 +17,10 @@
 # doublings reach all of them, and a prompt that is read in full at once by as many
 # requests still leaves room for a retry elsewhere.
 FIRST_FRACTION = 0.25
+# Least allowance after an exclusion or a pause, as a fraction of the upstream's share:
+# often this instance alone has seen the reason and the others go on, so that the
+# upstream has a part of its load already.
+RESUMED_FRACTION = 0.25
 # Lowest allowance, as a fraction of the first one: cuts of an upstream that refuses for
 # seconds must not make its next request a matter of minutes.
 FLOOR_FRACTION = 1 / 16
@@ -59,7 +63,8 @@
     ``allowance`` is the number of requests of this instance that may be open, ``first``
     the one at the begin, and ``share`` the open requests of this instance if all
     upstreams of the service had equally many. ``cut_at`` is the time of the begin or of
-    the last cut.
+    the last cut. ``is_troubled`` tells that an attempt has failed since the begin, or
+    that the upstream was excluded or paused.
     """
 
     service: ServiceId
@@ -69,6 +74,7 @@
     began_at: float
     cut_at: float
     share: float = 0.0
+    is_troubled: bool = False
 
 
 class UpstreamRamps:
@@ -96,13 +102,56 @@
         slots: int,
         instances: int,
         now: float,
+        *,
+        own_running: int = 0,
+        share: float = 0.0,
     ) -> Ramp:
-        """Begin a ramp, in place of one that there may be."""
-        first = max(1.0, FIRST_FRACTION * slots) / max(1, instances)
-        ramp = Ramp(service, cause, first, first, now, now)
+        """Begin a ramp, in place of one that there may be.
+
+        Parameters
+        ----------
+        upstream : UpstreamId
+        service : ServiceId
+        cause : RampCause
+        slots, instances : int
+            Slots of the upstream, and instances that carry requests.
+        now : float
+        own_running : int, optional
+            Requests of this instance that are open there.
+        share : float, optional
+            Those that would be if all upstreams of the service had equally many.
+
+        Notes
+        -----
+        What an upstream has taken while it was cold, it takes afterwards, too.
+        """
+        first = allowance = max(1.0, FIRST_FRACTION * slots) / max(1, instances)
+        if cause is RampCause.COLD:
+            current = self._ramps.get(upstream)
+            reached = current.allowance if current is not None else 0.0
+            allowance = max(first, float(own_running), reached)
+        elif cause is not RampCause.START:
+            allowance = max(first, RESUMED_FRACTION * share)
+        ramp = Ramp(service, cause, first, allowance, now, now, share)
         self._ramps[upstream] = ramp
         return ramp
 
+    def may_begin(self, upstream: UpstreamId, cause: RampCause) -> bool:
+        """Return whether a ramp begins for a cause, given one that there may be.
+
+        Notes
+        -----
+        A start is that of another process, of which a running ramp knows nothing.
+        """
+        ramp = self._ramps.get(upstream)
+        return ramp is None or cause is RampCause.START or ramp.is_troubled
+
+    def mark_troubled(self, upstream: UpstreamId) -> None:
+        """Note that an upstream in its ramp has failed, or is excluded or paused."""
+        ramp = self._ramps.get(upstream)
+        if ramp is not None:
+            ramp.is_troubled = True
+
     def find(self, upstream: UpstreamId) -> Ramp | None:
         """Return the ramp of an upstream, ``None`` without one."""
         return self._ramps.get(upstream)
--- a/tests/gateway/test_ramps.py
+++ b/tests/gateway/test_ramps.py
@@ -124,6 +124,65 @@
         self.assertEqual(causes[2], ["exclusion", "pause"])
         self.assertEqual(causes[5], ["exclusion", "pause", "cold"])
 
+    def list_begins(self):
+        """Return cause, allowance and share of the ramps that have begun."""
+        extras = [r.extra for r in self.handler.records if r.message == "ramp"]
+        keys = ("cause", "allowance", "share")
+        return [tuple(e[k] for k in keys) for e in extras if e["event"] == "begin"]
+
+    def test_end_of_the_cold_time_during_a_ramp(self):
+        """It undid what the ramp had learned, though nothing had gone wrong."""
+        self.start(NAMES[0], cold_until=self.clock.monotonic() + 4.0)
+        self.select()
+        self.clock.now += 5.0
+        self.select()
+        self.assertEqual(self.list_events(), [("begin", "start", None)])
+
+    def test_end_of_the_cold_time_after_a_ramp(self):
+        """The requests that are open there show what the upstream takes."""
+        self.start(NAMES[0], cold_until=self.clock.monotonic() + 4.0)
+        upstreams = self.select(6)
+        used = next(u for u in upstreams if u.id == NAMES[0])
+        for _ in range(3):
+            sent_at = self.clock.monotonic()
+            self.selector.ramps.record_begun(used, 100, 0.1, sent_at)
+        self.clock.now += 1.0
+        upstreams += self.select(15)
+        own = [u.id for u in upstreams].count(NAMES[0])
+        self.assertGreater(own, 3)
+        self.clock.now += 4.0
+        self.select()
+        self.assertEqual(
+            [begin[:2] for begin in self.list_begins()],
+            [("start", 2.0), ("cold", float(own))],
+        )
+
+    def test_exclusion_of_an_upstream_with_a_large_share(self):
+        """The others go on, so that a ramp from nothing would only move the load."""
+        self.select(36)
+        self.selector.record_failure(NAMES[0], is_down=True)
+        self.clock.now += 10.0
+        self.select()
+        [(cause, allowance, share)] = self.list_begins()
+        self.assertEqual(cause, "exclusion")
+        self.assertGreater(allowance, 2.5)
+        self.assertAlmostEqual(allowance, share / 4, 2)
+
+    def test_only_trouble_lets_a_later_cause_replace_a_ramp(self):
+        self.selector.record_failure(NAMES[0], is_down=True)
+        self.put(NAMES[0], OLD_MS, cold_until=self.clock.monotonic() + 4.0)
+        self.clock.now += 3.0
+        self.select()
+        self.clock.now += 2.0
+        self.select()
+        expected = [("begin", "exclusion", None)]
+        self.assertEqual(self.list_events(), expected)
+        self.selector.record_failure(NAMES[0], is_down=True)
+        self.clock.now += 10.0
+        self.select()
+        expected += [("end", "exclusion", "replaced"), ("begin", "exclusion", None)]
+        self.assertEqual(self.list_events(), expected)
+
     def test_zone_that_is_taken_back(self):
         """Its upstreams count as cold, and are ramped up after that."""
         self.state.set_withdrawn_zones([ZoneId("a")], self.clock.monotonic())
