--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -63,6 +63,7 @@
 from fescueflow.platform import (
     STORE_RESPONSE_BYTES_MAX,
     BootSettings,
+    Feature,
     Limits,
     StoreClient,
     load_boot,
@@ -331,7 +332,12 @@
             quarantine=self._quarantine,
             probe=ReachabilityProbe(self._pool, self._clock, self._metrics),
             metrics=self._metrics,
-            permits=RequestPermits(self._permits, self._selector, self._clock),
+            permits=RequestPermits(
+                self._permits,
+                self._selector,
+                self._clock,
+                Feature.PERMITS in self._boot.features,
+            ),
         )
         forwarder = Forwarder(
             selector=self._selector,
--- a/src/fescueflow/gateway/ramps.py
+++ b/src/fescueflow/gateway/ramps.py
@@ -42,6 +42,8 @@
     peers : PeerTable
     clock : Clock
     metrics : Metrics
+    is_enabled : bool, optional
+        Whether ramps are in use.
     """
 
     def __init__(
@@ -53,7 +55,9 @@
         peers: PeerTable,
         clock: Clock,
         metrics: Metrics,
+        is_enabled: bool = True,
     ) -> None:
+        self._is_enabled = is_enabled
         self._platform_state = platform_state
         self._loads = loads
         self._peers = peers
@@ -228,7 +232,7 @@
                     self._begin(listed[key[0]], key[1], now)
 
     def _begin(self, upstream: Upstream, cause: RampCause, now: float) -> None:
-        if not self._ramps.may_begin(upstream.id, cause):
+        if not self._is_enabled or not self._ramps.may_begin(upstream.id, cause):
             return
         replaced = self._ramps.find(upstream.id)
         instances = self._peers.count_carrying(now)
--- a/src/fescueflow/gateway/request_permits.py
+++ b/src/fescueflow/gateway/request_permits.py
@@ -21,11 +21,18 @@
     client : PermitClient
     selector : UpstreamSelector
     clock : Clock
+    is_enabled : bool, optional
+        Whether permits are in use.
     """
 
     def __init__(
-        self, client: PermitClient, selector: UpstreamSelector, clock: Clock
+        self,
+        client: PermitClient,
+        selector: UpstreamSelector,
+        clock: Clock,
+        is_enabled: bool = True,
     ) -> None:
+        self._is_enabled = is_enabled
         self._client = client
         self._selector = selector
         self._clock = clock
@@ -34,6 +41,8 @@
 
     def is_needed(self, context: RequestContext) -> bool:
         """Return whether the request's service has a coordinator to ask."""
+        if not self._is_enabled:
+            return False
         now = self._clock.monotonic()
         return self._client.coordinators.find(context.service, now) is not None
 
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -16,7 +16,7 @@
 from fescueflow.gateway.selected import Selection
 from fescueflow.gateway.speeds import UpstreamSpeeds
 from fescueflow.metrics import Metrics
-from fescueflow.platform import BootSettings
+from fescueflow.platform import BootSettings, Feature
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     Candidate,
@@ -86,6 +86,7 @@
             peers=peers,
             clock=clock,
             metrics=metrics,
+            is_enabled=Feature.RAMPS in boot.features,
         )
         self._gate = RateGate(
             own=boot.instance,
@@ -473,6 +474,8 @@
             return None
         if sources and all(source.id != upstream.id for source in sources):
             return sources[0]
+        if Feature.SECOND_SOURCES not in self._boot.features:
+            return None
         others = [
             u
             for u in usable
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -20,6 +20,7 @@
     parse_table,
     parse_upstream,
 )
+from fescueflow.platform.features import Feature
 from fescueflow.platform.http import (
     Connect,
     Limits,
@@ -97,6 +98,7 @@
     "ConfigurationClient",
     "Connect",
     "EraChanged",
+    "Feature",
     "Headers",
     "HistoryExpired",
     "HttpConfigurationClient",
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -3,11 +3,17 @@
 import math
 import tomllib
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from fescueflow.core import InstanceId, InvalidSettings, RegionId, ZoneId
+from fescueflow.platform.features import (
+    ALL_FEATURES,
+    FEATURES_VARIABLE,
+    Feature,
+    read_features,
+)
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "FESCUEFLOW_CONFIG"
@@ -56,6 +62,7 @@
     cpu_cores: float = 1.0
     link_mbps: float = LINK_MBPS_DEFAULT
     memory_mb: float = MEMORY_MB_DEFAULT
+    features: frozenset[Feature] = ALL_FEATURES
     evacuation_s: float = EVACUATION_S_DEFAULT
 
 
@@ -219,7 +226,11 @@
         text = Path(path).read_text("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise InvalidSettings([f"{path}: {error}"]) from error
-    return parse_boot(text)
+    try:
+        features = read_features(environment)
+    except ValueError as error:
+        raise InvalidSettings([f"{FEATURES_VARIABLE}: {error}"]) from error
+    return replace(parse_boot(text), features=features)
 
 
 def find_file_problem(environment: Mapping[str, str]) -> Iterator[str]:
