Defer to upstreams in reach only, and keep the order

An upstream whose allowance was used up came after all others within the bound: also ones with a full queue or many failures, and ones that had to read a prefix of 10,000 tokens again, for a pause of half a second. The bound was computed anew as running + 1, which is not the rule of find_balanced when all are above it.

Only upstreams with a free slot that cost at most 50 ms more come before it now; the order is kept otherwise. Placements say whether they are balanced. ramp_deferrals counts only orders that changed.

--- a/src/fescueflow/gateway/ramps.py
+++ b/src/fescueflow/gateway/ramps.py
@@ -27,6 +27,10 @@
 # seconds: a few times what its entry and the change of it take. An older one was only
 # unknown to this instance.
 START_AGE_MAX_S = 10.0
+# By how much more an alternative to an upstream in its ramp may cost, in milliseconds:
+# half of the time in which a prefix of 10,000 tokens is read, so that prompts with a
+# long prefix stay with its holder.
+DEFERRAL_COST_MAX_MS = 50.0
 
 log = logbook.Logger("ramps")
 
@@ -86,20 +90,17 @@
         self,
         placements: list[Placement],
         bound: BalanceBound,
-        limited: frozenset[UpstreamId],
         service_size: int,
         duration_s: float,
         now: float,
     ) -> list[Placement]:
-        """Return the placements, those whose allowance is used up after the others.
+        """Return the placements, those whose allowance is used up after alternatives.
 
         Parameters
         ----------
         placements : list of Placement
             In the order of preference.
         bound : BalanceBound
-        limited : frozenset of UpstreamId
-            Upstreams that the bound does not hold for.
         service_size : int
             Upstreams over which the mean of the bound is taken.
         duration_s : float
@@ -108,8 +109,8 @@
 
         Notes
         -----
-        An upstream above the bound on imbalance is no alternative to one in its ramp.
-        If all are in their ramp, or no other is left, the ramp is ignored.
+        As for ``defer_used_up``. If all are in their ramp, or there is no alternative,
+        the ramp is ignored.
         """
         with self._lock:
             if placements:
@@ -124,8 +125,10 @@
             )
         if not used_up:
             return placements
-        self._metrics.count("ramp_deferrals")
-        return defer_used_up(placements, used_up, bound, limited)
+        deferred = defer_used_up(placements, used_up)
+        if deferred != placements:
+            self._metrics.count("ramp_deferrals")
+        return deferred
 
     def _find_used_up(
         self,
@@ -306,25 +309,36 @@
 
 
 def defer_used_up(
-    placements: Sequence[Placement],
-    used_up: set[UpstreamId],
-    bound: BalanceBound,
-    limited: frozenset[UpstreamId] = frozenset(),
+    placements: Sequence[Placement], used_up: set[UpstreamId]
 ) -> list[Placement]:
-    """Return placements with those that are used up after the others.
+    """Return the placements with the alternatives to each used-up one before it.
 
     Notes
     -----
-    Those that would exceed the bound on imbalance stay behind, as ``rank_placements``
-    has put them; among them, the used-up ones are last, too.
+    An alternative has a free slot, costs little more, and exceeds the bound on
+    imbalance only if the used-up one does, too. The order is kept otherwise: a used-up
+    upstream is better than one with a queue or many failures, or one that would have to
+    read a long prefix again.
     """
-
-    def order(placement: Placement) -> tuple[bool, bool]:
+    rest = [p for p in placements if p.candidate.upstream.id not in used_up]
+    rest = [
+        p for p in rest if p.candidate.load.running < max(1, p.candidate.upstream.slots)
+    ]
+    ordered: dict[UpstreamId, Placement] = {}
+    for placement in placements:
         upstream = placement.candidate.upstream.id
-        is_over = placement.candidate.load.running + 1 > bound.limit
-        return is_over and upstream not in limited, upstream in used_up
-
-    return sorted(placements, key=order)
+        if upstream in used_up:
+            cost_max_ms = placement.cost_ms + DEFERRAL_COST_MAX_MS
+            left = []
+            for other in rest:
+                is_allowed = other.is_balanced or not placement.is_balanced
+                if is_allowed and other.cost_ms <= cost_max_ms:
+                    ordered.setdefault(other.candidate.upstream.id, other)
+                else:
+                    left.append(other)
+            rest = left
+        ordered.setdefault(upstream, placement)
+    return list(ordered.values())
 
 
 __all__ = ["RampTracker", "defer_used_up"]
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -338,7 +338,6 @@
             in_time = self.ramps.defer(
                 in_time,
                 bound,
-                limited,
                 max(len(candidates) - len(limited), upstream_count),
                 self._loads.get_mean_duration_s(service),
                 now,
--- a/src/fescueflow/routing/placement.py
+++ b/src/fescueflow/routing/placement.py
@@ -96,7 +96,8 @@
 
     ``prefill_tokens`` counts the prompt tokens left to prefill. ``is_copied`` means
     that the upstream copies the shared prefix from another one. ``wait_ms`` is the
-    expected time until a slot is free, which ``cost_ms`` includes.
+    expected time until a slot is free, which ``cost_ms`` includes. ``is_balanced``
+    means that the upstream stays within the load limit with one more request.
     """
 
     candidate: Candidate
@@ -105,6 +106,7 @@
     prefill_tokens: int = 0
     is_copied: bool = False
     wait_ms: float = 0.0
+    is_balanced: bool = True
 
 
 def find_holder(key: str, upstreams: Iterable[Upstream]) -> UpstreamId | None:
@@ -140,6 +142,7 @@
     is_cached: bool,
     copy_tokens_per_ms: float,
     hold_ms: float,
+    is_balanced: bool = True,
 ) -> Placement:
     """Return a placement with the expected time to the first event.
 
@@ -151,6 +154,8 @@
         Whether the upstream is expected to cache the shared prefix.
     copy_tokens_per_ms, hold_ms : float
         As for ``rank_placements``.
+    is_balanced : bool, optional
+        Whether the upstream stays within the load limit with one more request.
     """
     is_copied = not is_cached and is_copy_worthwhile(prompt, copy_tokens_per_ms)
     prefill_tokens = prompt.own_tokens
@@ -163,7 +168,15 @@
         prefill_tokens += prompt.shared_tokens
     wait_ms = estimate_wait_ms(candidate, hold_ms)
     cost_ms = wait_ms + estimate_cost_ms(candidate.load, prefill_tokens) + copy_ms
-    return Placement(candidate, cost_ms, is_cached, prefill_tokens, is_copied, wait_ms)
+    return Placement(
+        candidate,
+        cost_ms,
+        is_cached,
+        prefill_tokens,
+        is_copied,
+        wait_ms,
+        is_balanced,
+    )
 
 
 def estimate_wait_ms(candidate: Candidate, hold_ms: float) -> float:
@@ -312,7 +325,12 @@
     balanced_ids |= limited
     placements = [
         estimate_placement(
-            c, prompt, c.upstream.id in cached_at, copy_tokens_per_ms, hold_ms
+            c,
+            prompt,
+            c.upstream.id in cached_at,
+            copy_tokens_per_ms,
+            hold_ms,
+            c.upstream.id in balanced_ids,
         )
         for c in candidates
     ]
@@ -326,7 +344,7 @@
             cost_ms += ZONE_COST_MS
         if not placement.is_cached and upstream.id not in successors:
             cost_ms += SCATTERED_COPY_COST_MS
-        return upstream.id not in balanced_ids, cost_ms, upstream.id
+        return not placement.is_balanced, cost_ms, upstream.id
 
     return sorted(placements, key=order)
 
--- a/tests/gateway/test_ramps.py
+++ b/tests/gateway/test_ramps.py
@@ -17,6 +17,7 @@
 
 NAMES = [UpstreamId(f"u{n}") for n in range(3)]
 OLD_MS = 1
+PROMPT = Prompt()
 
 
 class RampTrackerTest(unittest.TestCase):
@@ -51,11 +52,11 @@
         """List a new start of an upstream."""
         self.put(name, round(self.clock.wall_time() * 1000) - 500, **changes)
 
-    def select(self, count=1):
+    def select(self, count=1, prompt=PROMPT):
         """Select upstreams for requests that stay open."""
         found = []
         for _ in range(count):
-            selection = self.selector.select(ENGINES, Prompt(), set(), 5.0)
+            selection = self.selector.select(ENGINES, prompt, set(), 5.0)
             found.append(selection.upstream)
         return found
 
@@ -90,6 +91,26 @@
         self.assertLessEqual(found.count(NAMES[0]), 2 * 8 + 3)
         self.assertGreater(found.count(NAMES[1]), 2)
 
+    def test_long_prefix_stays_with_its_holder(self):
+        """After a pause of half a second it was read again elsewhere."""
+        prompt = Prompt("p1", shared_tokens=10_000)
+        selection = self.selector.select(ENGINES, prompt, set(), 5.0)
+        selection.active_request.mark_prompt_read()
+        holder = selection.upstream
+        self.selector.pause_upstream(holder.id, 0.5)
+        self.clock.now += 1.0
+        found = [upstream.id for upstream in self.select(2, prompt)]
+        self.assertEqual(found, [holder.id] * 2)
+        self.assertNotEqual(self.select(1)[0].id, holder.id)
+
+    def test_full_upstream_is_no_alternative(self):
+        """A queue elsewhere takes longer than a request above the allowance."""
+        for name in NAMES[1:]:
+            self.put(name, OLD_MS, slots=1)
+        self.start(NAMES[0])
+        found = [upstream.id for upstream in self.select(7)]
+        self.assertEqual([found.count(name) for name in NAMES], [5, 1, 1])
+
     def test_good_responses_end_a_ramp(self):
         self.start(NAMES[0])
         upstream = next(u for u in self.select(3) if u.id == NAMES[0])
