Take an unmarked end before that of the upload as a cut

An upstream that closed its direction during an upload, after a 2xx without a length or chunks, passed for one that had sent its whole answer. A process that ends halfway closes its connections in the same way, and an answer that ends early must not look complete. Such an end is now a lost connection (502, or a resumed stream); errors, after which the rest is not sent, still end so.

test_orderly_end_of_an_unmarked_answer_during_the_upload expected the answer as whole, which the upstream's behaviour does not show. It now expects 502 and a broken stream.

--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -222,7 +222,7 @@
         Notes
         -----
         The end of a connection may be that of a body without a length or chunks, unless
-        a write has met a reset.
+        a write has met a reset or a part of the request was not taken.
         """
         try:
             if self._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
@@ -232,7 +232,8 @@
         except OSError:
             return True
         has_length = self._decoder is not None or self._remaining_bytes is not None
-        return self._response is None or has_length or self._is_reset
+        is_response_cut = self._is_reset or self._is_request_cut
+        return self._response is None or has_length or is_response_cut
 
     def iterate_parts(
         self, deadline: float, get_limit: Callable[[], float] | None = None
@@ -264,10 +265,12 @@
             data = self._receive(limit)
             if data:
                 yield from self._decode(data)
-            elif self._decoder is None and self._remaining_bytes is None:
-                self.is_complete = True
-            else:
+            elif self._decoder is not None or self._remaining_bytes is not None:
                 raise ConnectionLost("the body is cut")
+            elif self._is_request_cut:
+                raise ConnectionLost("an unmarked end before that of the request")
+            else:
+                self.is_complete = True
 
     def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
         """Return the whole body; its bytes are counted by the buffer."""
@@ -343,6 +346,17 @@
                 raise ConnectionLost(f"{self._send_error!r} during the request")
             return data
 
+    @property
+    def _is_request_cut(self) -> bool:
+        """Whether the upstream has not taken a request that it may still need.
+
+        Notes
+        -----
+        A process that ends between two writes closes its connections like the end of a
+        body. Only an error may end the exchange before the end of the request.
+        """
+        return bool(self._unsent) and self.status < UNSUCCESSFUL_STATUS_MIN
+
     @property
     def _is_reset(self) -> bool:
         """Whether a write has met the end of a connection that was not closed.
@@ -350,8 +364,9 @@
         Notes
         -----
         A write fails with EPIPE if the upstream had closed its direction before: what
-        arrived is then all that it sent. Otherwise the write fails with ECONNRESET, or
-        with ETIMEDOUT when the connection is given up.
+        arrived is then all that it sent, though not always all that it had to send.
+        Otherwise the write fails with ECONNRESET, or with ETIMEDOUT when the connection
+        is given up.
         """
         error = self._send_error
         return error is not None and not isinstance(error, BrokenPipeError)
--- a/tests/gateway/test_exchange_ends.py
+++ b/tests/gateway/test_exchange_ends.py
@@ -56,6 +56,31 @@
         with self.assertRaises(ConnectionLost):
             self.read(exchange)
 
+    def test_orderly_end_before_the_whole_request(self):
+        """The upstream's process may have ended before it had read the request."""
+        exchange, upstream = self.begin()
+        upstream.shutdown(socket.SHUT_WR)
+        with self.assertRaises(ConnectionLost):
+            self.read(exchange)
+        self.assertTrue(exchange.is_cut())
+        self.assertFalse(exchange.is_complete)
+
+    def test_orderly_end_and_a_write_that_fails(self):
+        """The write meets EPIPE, as the upstream had closed its direction before."""
+        exchange, upstream = self.begin()
+        upstream.shutdown(socket.SHUT_WR)
+        self.reset(exchange, upstream)
+        self.assertTrue(exchange.is_cut())
+        with self.assertRaises(ConnectionLost):
+            self.read(exchange)
+
+    def test_error_before_the_whole_request(self):
+        """It may end so, as the rest of the request is not sent after it."""
+        exchange, upstream = self.begin(status=404)
+        upstream.shutdown(socket.SHUT_WR)
+        self.assertEqual(self.read(exchange), b"part")
+        self.assertFalse(exchange.is_cut())
+
     def test_end_after_the_whole_request(self):
         exchange, upstream = self.begin(upload=b"small")
         upstream.recv(100)
--- a/tests/gateway/test_two_directions.py
+++ b/tests/gateway/test_two_directions.py
@@ -145,16 +145,20 @@
         self.assertEqual(len(refusals), 1)
 
     def test_orderly_end_of_an_unmarked_answer_during_the_upload(self):
-        """The upstream closed its direction first, so that it sent all it had."""
+        """A process that ends closes its direction, too, wherever its answer was."""
         held = HeldUpload()
 
         def script(handler):
             held.take_some(handler)
-            handler.wfile.write(b"".join(make_answer(handler, "none", b"whole")))
+            handler.wfile.write(b"".join(make_answer(handler, "none", make_event(1))))
             handler.connection.shutdown(socket.SHUT_WR)
             handler.reset_connection()
 
-        self.assertEqual(self.upload("/once/1", script, held), (200, b"whole"))
+        self.assertEqual(self.upload("/once/1", script, held)[0], 502)
+        held = HeldUpload()
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.upload("/single/1", script, held)
+        self.assertEqual(caught.exception.partial, make_event(1))
 
     def test_reset_after_the_last_byte(self):
         for framing, status in (("length", 200), ("chunks", 200), ("none", 502)):
