Test callers outside the limits against a process

Callers with large, endless or unfinished requests have killed a process for want of memory, and nothing showed it.

--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -13,11 +13,15 @@
 PORT_NAMES = ("peer_port", "callers", "ready", "directory")
 
 
-def start_process(directory, store_port, stdout, grace_s):
-    """Start an instance; return the process and its ports."""
+def start_process(directory, store_port, stdout, grace_s, limits=""):
+    """Start an instance; return the process and its ports.
+
+    ``limits`` is the text of that section of the settings file.
+    """
     ports = {name: find_free_port("127.0.0.1") for name in PORT_NAMES}
     path = Path(tempfile.mkstemp(suffix=".toml", dir=directory)[1])
-    path.write_text(render_boot(store=store_port, grace_s=grace_s, **ports), "utf-8")
+    text = render_boot(store=store_port, grace_s=grace_s, **ports)
+    path.write_text(f"{text}{limits}", "utf-8")
     process = subprocess.Popen(
         [sys.executable, "-m", "fescueflow.gateway"],
         stdin=subprocess.DEVNULL,
