Bound what a process holds for callers

Bodies that stopped short, chunks without end, unread answers and unused connections exhausted the memory or the descriptors of a process.

- One account (gateway/caller_memory.py) counts heads, bodies, held answers and unsent output against 3/8 of the memory_limit_mb; when it is full, the holder of most bytes for longest without progress gives way (routing/caller_bounds.py).
- A body over max_body_bytes is refused at its announced length or where it passes the limit (413); heads follow max_header_bytes (431) and header_timeout_ms (408); a body has 20 s for each 16 KiB (408); an answer of which nothing is taken for 30 s is cut.
- Size lines of chunks and trailers are bounded; a transfer coding without HTTP/1.1 is malformed; a request without a body that asks for 100-continue is complete.
- Servers take three quarters of max_fds; unused connections are closed when hardly any are left.
- Large bodies are read without a copy and returned to the system.

--- a/src/fescueflow/core/errors.py
+++ b/src/fescueflow/core/errors.py
@@ -101,6 +101,20 @@
     type = "body_too_large"
 
 
+class HeadTooLarge(InvalidRequest):
+    """The head of the request exceeds the limit."""
+
+    status = 431
+    type = "head_too_large"
+
+
+class RequestTooSlow(InvalidRequest):
+    """The request did not arrive in time."""
+
+    status = 408
+    type = "request_too_slow"
+
+
 class UnknownCustomer(InvalidRequest):
     """The customer is not in the configuration."""
 
@@ -199,6 +213,7 @@
     "BodyTooLarge",
     "DeadlineExceeded",
     "FescueflowError",
+    "HeadTooLarge",
     "InvalidConfiguration",
     "InvalidRequest",
     "InvalidRequestId",
@@ -213,6 +228,7 @@
     "PromptQuarantined",
     "RequestError",
     "RequestIdReused",
+    "RequestTooSlow",
     "UnknownCustomer",
     "UnknownModel",
     "UpstreamFailed",
--- a/src/fescueflow/gateway/application.py
+++ b/src/fescueflow/gateway/application.py
@@ -15,6 +15,7 @@
     RequestError,
     describe_error,
 )
+from fescueflow.gateway.caller_bodies import read_whole
 from fescueflow.gateway.departure import Departure, Stage
 from fescueflow.gateway.forwarding import Forwarder
 from fescueflow.gateway.peers import PeerTable, choose_addresses
@@ -82,7 +83,7 @@
         If the body is shorter than its declared length.
     """
     length = int(environ.get("CONTENT_LENGTH") or 0)
-    body = environ["wsgi.input"].read(length) if length else b""
+    body = read_whole(environ["wsgi.input"], length) if length else b""
     if len(body) != length:
         raise InvalidRequest("the request body is incomplete")
     is_disconnected = environ.get("waitress.client_disconnected") or (lambda: False)
--- a/src/fescueflow/gateway/buffers.py
+++ b/src/fescueflow/gateway/buffers.py
@@ -9,6 +9,7 @@
 import weakref
 
 from fescueflow.core import FescueflowError
+from fescueflow.gateway.caller_memory import CallerMemory
 
 # Bytes that each answer may hold whatever the others hold. Usual answers are smaller.
 GUARANTEED_BYTES = 1 << 18
@@ -27,9 +28,12 @@
     ----------
     memory_bytes : float
         Memory of the process.
+    memory : CallerMemory, optional
+        Account of all that is held for callers, in which answers are counted, too.
     """
 
-    def __init__(self, memory_bytes: float) -> None:
+    def __init__(self, memory_bytes: float, memory: CallerMemory | None = None) -> None:
+        self._memory = memory or CallerMemory(memory_bytes)
         self._left = int(memory_bytes * MEMORY_FRACTION)
         self._lock = threading.Lock()
 
@@ -51,14 +55,18 @@
         with self._lock:
             self._left += count
 
+    def move(self, before: int, after: int) -> None:
+        """Change what one answer holds in all, in bytes."""
+        self._memory.move(before, after)
+
 
 class AnswerBuffer:
     """The bytes of one answer; they are given back with the last reference to it."""
 
     def __init__(self, buffers: AnswerBuffers) -> None:
         self._buffers = buffers
-        self._taken = [0]
-        self._size = 0
+        # Bytes beyond what each answer may hold, and all bytes.
+        self._taken = [0, 0]
         weakref.finalize(self, give_all_back, buffers, self._taken)
 
     def grow(self, count: int) -> None:
@@ -69,8 +77,10 @@
         BufferFull
             If all answers together hold too many.
         """
-        self._size += count
-        surplus = self._size - GUARANTEED_BYTES - self._taken[0]
+        size = self._taken[1] + count
+        self._buffers.move(self._taken[1], size)
+        self._taken[1] = size
+        surplus = size - GUARANTEED_BYTES - self._taken[0]
         if surplus > 0:
             self._buffers.take(surplus)
             self._taken[0] += surplus
@@ -79,6 +89,7 @@
 def give_all_back(buffers: AnswerBuffers, taken: list[int]) -> None:
     """Give back what an answer has taken."""
     buffers.give_back(taken[0])
+    buffers.move(taken[1], 0)
 
 
 __all__ = ["AnswerBuffer", "AnswerBuffers", "BufferFull"]
--- /dev/null
+++ b/src/fescueflow/gateway/caller_watch.py
@@ -0,0 +1,123 @@
+"""Closes the connections of callers outside the limits; runs in a server's loop."""
+
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import logbook
+
+from fescueflow.core import Overloaded, RequestError, RequestTooSlow
+from fescueflow.gateway.caller_requests import RETRY_AFTER_MS, CallerRules
+from fescueflow.routing import CallerBound, choose_yielding, find_breach
+
+SWEEP_INTERVAL_S = 1.0
+# Callers are not blamed for the time in which the loop itself stood still.
+SWEEP_LATE_S = 2.0
+# Part of the connections that is kept free, and that is closed at a time for that.
+CONNECTIONS_FREE_FRACTION = 1 / 16
+CONNECTIONS_CLOSED_FRACTION = 1 / 4
+# Time without a byte after which a connection may be closed for others: TCP resends a
+# lost packet sooner.
+UNUSED_S = 1.0
+
+log = logbook.Logger("server")
+
+
+class CallerWatch:
+    """Holds the connections of one server against the bounds.
+
+    Parameters
+    ----------
+    rules : CallerRules
+    listeners : list
+    connections_max : int
+    """
+
+    def __init__(
+        self, rules: CallerRules, listeners: list[Any], connections_max: int
+    ) -> None:
+        self._rules = rules
+        self._listeners = listeners
+        self._connections_max = connections_max
+        self._swept_at = time.monotonic()
+
+    def sweep(self) -> None:
+        """Hold all connections against the bounds once a second."""
+        now = time.monotonic()
+        elapsed_s = now - self._swept_at
+        if elapsed_s < SWEEP_INTERVAL_S:
+            return
+        self._swept_at = now
+        if elapsed_s < SWEEP_LATE_S:
+            self._end_slow(now)
+        self.relieve()
+        self._free_connections(now)
+
+    def relieve(self) -> None:
+        """Have callers give way until the memory suffices."""
+        excess = self._rules.memory.get_excess()
+        if not excess:
+            return
+        holds = [channel.get_hold() for channel in self._list_channels()]
+        for channel in choose_yielding(holds, excess, time.monotonic()):
+            error = Overloaded("out of memory for requests", None, RETRY_AFTER_MS)
+            self._end(channel, CallerBound.MEMORY, error)
+
+    def _end_slow(self, now: float) -> None:
+        limits = self._rules.get_limits()
+        head_s = limits.head_s if limits else None
+        for channel in self._list_channels():
+            # Connections between two requests make up most of them.
+            if channel.request is None and not channel.total_outbufs_len:
+                continue
+            bound = find_breach(channel.get_progress(now), head_s, now)
+            if bound is not None:
+                self._end(channel, bound, RequestTooSlow("the request came too slowly"))
+
+    def _free_connections(self, now: float) -> None:
+        """Close unused connections if there are hardly any left for others.
+
+        Notes
+        -----
+        Connections that have been idle for less than the configuration allows after an
+        answer stay open, since their callers may reuse them.
+        """
+        channels = list(self._list_channels())
+        if len(channels) < self._connections_max * (1 - CONNECTIONS_FREE_FRACTION):
+            return
+        limits = self._rules.get_limits()
+        idle_s = limits.idle_s if limits else UNUSED_S
+        unused = [c for c in channels if self._is_unused(c, idle_s, now)]
+        unused.sort(key=lambda channel: channel.received_at)
+        count = int(self._connections_max * CONNECTIONS_CLOSED_FRACTION)
+        for channel in unused[:count]:
+            if channel.request is not None:
+                error = Overloaded("too many connections", None, RETRY_AFTER_MS)
+                self._end(channel, CallerBound.CONNECTIONS, error)
+                continue
+            self._rules.record(channel.addr[0], CallerBound.CONNECTIONS, 0)
+            channel.handle_close()
+
+    @staticmethod
+    def _is_unused(channel: Any, idle_s: float, now: float) -> bool:
+        if channel.requests or channel.total_outbufs_len or channel.is_lingering:
+            return False
+        if channel.request is not None:
+            return bool(now - channel.request.progress_at > UNUSED_S)
+        since = max(channel.received_at, channel.answered_at)
+        return bool(now - since > (UNUSED_S if channel.is_new else idle_s))
+
+    def _list_channels(self) -> Iterable[Any]:
+        for listener in self._listeners:
+            yield from list(listener.active_channels.values())
+
+    @staticmethod
+    def _end(channel: Any, bound: CallerBound, error: RequestError) -> None:
+        try:
+            channel.give_way(bound, error)
+        except Exception:  # noqa: BLE001
+            # The others are still held against the bounds.
+            log.exception("unexpected error with a caller outside the limits")
+
+
+__all__ = ["CallerWatch"]
--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -4,20 +4,21 @@
 import select
 import socket
 import struct
-import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from waitress.channel import ClientDisconnected
-from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask, WSGITask
 
+from fescueflow.core import RequestError
 from fescueflow.gateway.application import READ_AT, REQUEST_URI
+from fescueflow.gateway.caller_requests import CallerParser, CallerRules
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.unanswered import Cause, UnansweredRequests, find_cause
 from fescueflow.http1 import DirectChannel
-from fescueflow.platform import ATTEMPT_ID_VARIABLE
+from fescueflow.routing import CallerBound, CallerProgress, Hold
 
 # Value of SO_LINGER with which a connection is reset when it is closed.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -25,8 +26,6 @@
 # reads slowly needs it to have the rest of its answer.
 LINGER_S = 2.0
 LINGER_READ_BYTES = 1 << 16
-# The attempt's id among the headers that the server has read.
-ATTEMPT_ID_KEY = ATTEMPT_ID_VARIABLE.removeprefix("HTTP_")
 CLOSED = "the connection is closed"
 CUT_ANSWER = "the answer is not written whole"
 
@@ -42,60 +41,9 @@
     return bool(poll.poll(0))
 
 
-class CallerParser(HTTPRequestParser):
-    """Request of a caller, which notes how it ends.
-
-    Attributes
-    ----------
-    is_running : bool
-        Whether a worker thread answers it, which then finds how it ends.
-    is_answered : bool
-        Whether its whole answer is written or waits in the connection's buffers.
-    read_at : float
-        When the request had been read, on the monotonic clock in seconds.
-    """
-
-    unanswered: UnansweredRequests
-    is_running = False
-    is_answered = False
-    read_at = 0.0
-
-    def __init__(self, adj: Any) -> None:
-        super().__init__(adj)
-        # The server's loop and a worker thread may find the end at the same time.
-        self._settle_lock = threading.Lock()
-        self._is_settled = False
-
-    def received(self, data: bytes) -> int:
-        """Read a part of the request; return the number of bytes used."""
-        count: int = super().received(data)
-        if self.completed:
-            self.read_at = time.monotonic()
-        return count
-
-    def close(self) -> None:
-        """Release the body of a request that is answered, or dropped unanswered."""
-        if self.completed and not self.empty and not self.is_answered:
-            self.settle(Cause.DROPPED, "the connection closes after an earlier answer")
-        super().close()
-
-    def settle(self, cause: Cause, why: str) -> None:
-        """Record the end of the request without a complete answer, once."""
-        with self._settle_lock:
-            if self._is_settled:
-                return
-            self._is_settled = True
-        self.unanswered.record(
-            attempt_id=self.get_attempt_id(),
-            path=str(self.path),
-            cause=cause,
-            why=why,
-            read_at=self.read_at,
-        )
-
-    def get_attempt_id(self) -> str:
-        """Return the id that the caller gave the request, empty without one."""
-        return str(self.headers.get(ATTEMPT_ID_KEY, ""))
+def never() -> bool:
+    """Return False."""
+    return False
 
 
 class CallerTask(WSGITask):
@@ -205,8 +153,17 @@
     answered_at : float
         When it was accepted or the last answer was written or buffered, on the same
         clock.
+    taken_at : float
+        When the caller last took a part of an answer that waits for it, on the same
+        clock.
     """
 
+    rules: CallerRules
+    parser_class: Any
+    # The request that is read.
+    request: CallerParser | None
+    # Releases memory in the server's loop.
+    relieve: Callable[[], None] = staticmethod(lambda: None)
     error_task_class = CallerErrorTask
     close_cause = Cause.CALLER_LEFT
     is_new = True
@@ -219,16 +176,99 @@
         self._is_cut = False
         # Until when further input is taken and discarded before the close.
         self._linger_until: float | None = None
-        self.received_at = self.answered_at = time.monotonic()
+        self.received_at = self.answered_at = self.taken_at = time.monotonic()
+        self._output_bytes = 0
         super().__init__(*args, **options)
+        self.parser_class = partial(self.parser_class, address=self.addr[0])
 
     def received(self, data: bytes) -> bool:
         """Take a part of one or more requests."""
         self.received_at = time.monotonic()
         taken: bool = super().received(data)
         self.is_new = False
+        with self.requests_lock:
+            is_failed = bool(self.requests and self.requests[-1].error)
+        if is_failed:
+            self.readable = never
+        if self.rules.memory.is_over:
+            self.relieve()
         return taken
 
+    def write_soon(self, data: Any) -> int:
+        """Send or buffer the data; return its size in bytes."""
+        size = super().write_soon(data)
+        if self.total_outbufs_len != self._output_bytes:
+            self._hold_output()
+        return size
+
+    def handle_write(self) -> None:
+        """Send what waits for the caller."""
+        before = self.total_outbufs_len
+        super().handle_write()
+        if self.total_outbufs_len < before:
+            self.taken_at = time.monotonic()
+        if self.total_outbufs_len != self._output_bytes:
+            self._hold_output()
+
+    def get_progress(self, now: float) -> CallerProgress:
+        """Return what is read from or written to the caller.
+
+        Notes
+        -----
+        A request behind an answer that waits for the caller is not read, so its time
+        begins anew.
+        """
+        answer_since = self.taken_at if self.total_outbufs_len else None
+        request = self.request
+        if request is None:
+            return CallerProgress(answer_since=answer_since)
+        if self.total_outbufs_len or len(self.requests) > 1:
+            request.progress_at = now
+        since = request.progress_at
+        if request.headers_finished:
+            return CallerProgress(body_since=since, answer_since=answer_since)
+        return CallerProgress(head_since=since, answer_since=answer_since)
+
+    def get_hold(self) -> Hold:
+        """Return what giving way would release."""
+        request = self.request
+        size, since = self._output_bytes, self.taken_at
+        if request is not None:
+            size += request.held_bytes
+            since = request.progress_at
+        return Hold(self, size, since)
+
+    def give_way(self, limit: CallerBound, error: RequestError) -> None:
+        """Refuse the request that is read, or cut an answer that is not taken.
+
+        Notes
+        -----
+        Runs in the server's loop. The refusal comes after the answers to earlier
+        requests. A connection whose output waits takes no further one.
+        """
+        size = self.get_hold().held_bytes
+        self.rules.record(self.addr[0], limit, size)
+        if self.total_outbufs_len:
+            self.close_cause = Cause.NOT_WRITTEN
+            self.reset_on_close()
+            self._end()
+            return
+        with self.requests_lock:
+            request, self.request = self.request, None
+            if request is not None:
+                self.readable = never
+                request.refuse(error)
+                self.requests.append(request)
+                if len(self.requests) == 1:
+                    self.server.add_task(self)
+
+    def _hold_output(self) -> None:
+        with self.outbuf_lock:
+            before, self._output_bytes = self._output_bytes, self.total_outbufs_len
+            self.rules.memory.move(before, self._output_bytes)
+            if not before:
+                self.taken_at = time.monotonic()
+
     def note_answer(self, request: CallerParser) -> None:
         """Note that the whole answer to a request is written or buffered."""
         request.is_answered = True
@@ -320,6 +360,8 @@
             self._is_cut = self._is_cut or bool(self.total_outbufs_len)
             unsent = list(self._unsent) if self._is_cut else []
             super().handle_close()
+            self._hold_output()
+        self._release_unread()
         for request in unsent:
             request.settle(self.close_cause, CUT_ANSWER)
         is_stop = self.close_cause is Cause.STOP
@@ -328,21 +370,34 @@
             if not request.is_answered and (is_stop or not request.is_running):
                 request.settle(self.close_cause, CLOSED)
 
+    def _release_unread(self) -> None:
+        with self.requests_lock:
+            request, self.request = self.request, None
+        if request is not None:
+            request.close()
+
 
 def make_channel_class(
     is_leaving: Callable[[], bool],
     is_ending: Callable[[], bool],
     unanswered: UnansweredRequests,
+    rules: CallerRules,
+    relieve: Callable[[], None],
 ) -> type[CallerChannel]:
     """Return the channel class for the connections of one server."""
     checks = {
         "is_leaving": staticmethod(is_leaving),
         "is_ending": staticmethod(is_ending),
     }
-    parser = type("Parser", (CallerParser,), {"unanswered": unanswered})
+    parser = type("Parser", (CallerParser,), {"unanswered": unanswered, "rules": rules})
     task = type("Task", (CallerTask,), checks)
-    classes = {"task_class": task, "parser_class": parser}
+    classes = {
+        "task_class": task,
+        "parser_class": parser,
+        "rules": rules,
+        "relieve": staticmethod(relieve),
+    }
     return type("Channel", (CallerChannel,), classes)
 
 
-__all__ = ["CallerChannel", "CallerParser", "CallerTask", "make_channel_class"]
+__all__ = ["CallerChannel", "CallerTask", "make_channel_class"]
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -20,6 +20,8 @@
 from fescueflow.gateway.application import CallerApplication, StatusApplication
 from fescueflow.gateway.attempts import AttemptClient
 from fescueflow.gateway.buffers import AnswerBuffers
+from fescueflow.gateway.caller_memory import CallerMemory, return_large_allocations
+from fescueflow.gateway.caller_requests import CallerRules
 from fescueflow.gateway.changes import (
     OperatorChangeHandler,
     UpstreamChangeHandler,
@@ -46,7 +48,14 @@
 from fescueflow.gateway.reporting import Reporter
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
-from fescueflow.gateway.server import CALLER_THREADS, STATUS_THREADS, GatewayServer
+from fescueflow.gateway.server import (
+    CALLER_THREADS,
+    CALLERS_FDS_FRACTION,
+    STATUS_FDS_FRACTION,
+    STATUS_THREADS,
+    GatewayServer,
+    limit_connections,
+)
 from fescueflow.gateway.unanswered import UnansweredRequests
 from fescueflow.gateway.watching import READ_TIMEOUT_S, StoreWatcher
 from fescueflow.metrics import Metrics
@@ -57,6 +66,7 @@
     StoreClient,
     load_boot,
 )
+from fescueflow.routing import CallerLimits
 
 # Time for which callers cache an address; a third of the longest, since some cache it
 # three times as long.
@@ -166,6 +176,14 @@
             clock=clock,
         )
         self._watcher = self._make_watcher(random_source)
+        self._rules = CallerRules(
+            memory=CallerMemory(boot.memory_mb * 1e6),
+            get_limits=self._get_limits,
+            metrics=self._metrics,
+        )
+        self._metrics.register_gauge(
+            "caller_memory_bytes", lambda: self._rules.memory.held_bytes
+        )
         self._caller_server = self._make_caller_server()
         self._status_server = self._make_status_server()
 
@@ -259,7 +277,7 @@
             selector=self._selector,
             dispatcher=dispatcher,
             clock=self._clock,
-            buffers=AnswerBuffers(self._boot.memory_mb * 1e6),
+            buffers=AnswerBuffers(self._boot.memory_mb * 1e6, self._rules.memory),
             lookup=RouteLookup(
                 self._platform_state,
                 StateConfirmation(self._watcher, self._clock),
@@ -280,6 +298,8 @@
             is_leaving=lambda: self._departure.has_started,
             unanswered=UnansweredRequests(self._metrics),
             is_ending=lambda: self._departure.get_stage() is Stage.ENDING,
+            rules=self._rules,
+            connections_max=limit_connections(self._boot.max_fds, CALLERS_FDS_FRACTION),
         )
 
     def _make_status_server(self) -> GatewayServer:
@@ -297,8 +317,14 @@
             is_leaving=lambda: False,
             # Operators' questions are not counted among the requests of callers.
             unanswered=UnansweredRequests(Metrics()),
+            rules=self._rules,
+            connections_max=limit_connections(self._boot.max_fds, STATUS_FDS_FRACTION),
         )
 
+    def _get_limits(self) -> CallerLimits | None:
+        table = self._platform_state.get_table()
+        return None if table is None else table.limits
+
     def _make_report(self) -> bytes:
         self._client.check_survivors()
         return self._reporter.make_report()
@@ -383,6 +409,7 @@
     mask of the main thread, so that it is set before they start.
     """
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    return_large_allocations()
     load = partial(load_boot, os.environ if environment is None else environment)
     with log_to_stdout() as handler:
         try:
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -13,15 +14,15 @@
 from waitress import create_server
 from waitress.wasyncore import close_all, dispatcher
 
+from fescueflow.gateway.caller_requests import CallerRules
+from fescueflow.gateway.caller_watch import CallerWatch
 from fescueflow.gateway.channels import has_data, make_channel_class
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.threads import GrowingDispatcher
 from fescueflow.gateway.unanswered import UnansweredRequests
 
-# Above the limits that operators configure, which are checked once the configuration
-# is known.
-HEADER_BYTES_MAX = 65536
-BODY_BYTES_MAX = 16 << 20
+# Sizes are checked by the requests themselves, as the configuration says.
+UNLIMITED_BYTES = 1 << 60
 # Unsent output at which a response waits for the caller.
 OUTPUT_HIGH_WATERMARK_BYTES = 1 << 18
 # Above any pending output: waitress writes larger buffers to a file.
@@ -29,6 +30,13 @@
 # Above the operators' idle limits, so that callers close first.
 IDLE_TIMEOUT_S = 60
 CONNECTIONS_MAX = 3000
+# Parts of the machine's descriptors for callers, and for operators and the platform.
+# The others are for upstreams, for which a caller's request needs one or two.
+CALLERS_FDS_FRACTION = 3 / 4
+STATUS_FDS_FRACTION = 1 / 16
+# Kernel buffer of each direction of a connection, which the kernel doubles. Ten times
+# what a link of 100 Mbit/s holds in 6 ms; up to 10 MB without this.
+SOCKET_BUFFER_BYTES = 1 << 18
 # A stream holds its thread until it ends; as many as one engine has slots.
 CALLER_THREADS = 128
 STATUS_THREADS = 2
@@ -65,13 +73,33 @@
         listener.trigger.pull_trigger(run)
 
 
-def pause_after_errors(listener: Any) -> None:
+def limit_connections(max_fds: float, fraction: float) -> int:
+    """Return how many connections a server takes.
+
+    Parameters
+    ----------
+    max_fds : float
+        Descriptors of the machine, 0 if not known.
+    fraction : float
+        The server's part of them.
+    """
+    return min(CONNECTIONS_MAX, int(max_fds * fraction) or CONNECTIONS_MAX)
+
+
+def limit_socket_buffers(listener: Any) -> None:
+    """Bound the kernel's memory for connections that are not read or written."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+
+
+def pause_after_errors(listener: Any, sweep: Callable[[], None]) -> None:
     """Let a listener go on after an error, at a pace that leaves time for requests.
 
     Notes
     -----
     Without free descriptors, a connection stays in the backlog: the server's loop would
     try it again at once and without end. Any other error would close the listener.
+    The loop calls ``sweep`` in each turn.
     """
     handle_accept, readable = listener.handle_accept, listener.readable
     paused_until = 0.0
@@ -92,6 +120,10 @@
             log.exception("unexpected error with a new connection")
 
     def is_readable() -> bool:
+        try:
+            sweep()
+        except Exception:  # noqa: BLE001
+            log.exception(LOOP_ERROR)
         return bool(readable()) and time.monotonic() >= paused_until
 
     listener.accept = accept
@@ -199,9 +231,12 @@
     unanswered : UnansweredRequests
     is_ending : callable, optional
         Returns whether the grace period of a planned stop is about to end.
+    rules : CallerRules
+        What requests are held against.
+    connections_max : int, optional
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913
         self,
         *,
         application: Callable[..., Any],
@@ -210,6 +245,8 @@
         is_leaving: Callable[[], bool],
         unanswered: UnansweredRequests,
         is_ending: Callable[[], bool] = lambda: False,
+        rules: CallerRules,
+        connections_max: int = CONNECTIONS_MAX,
     ) -> None:
         redirect_server_log()
         # Set when the listeners are closed and all of their backlogs is taken.
@@ -223,9 +260,9 @@
             _dispatcher=self._dispatcher,
             listen=" ".join(addresses),
             threads=threads,
-            connection_limit=CONNECTIONS_MAX,
-            max_request_body_size=BODY_BYTES_MAX,
-            max_request_header_size=HEADER_BYTES_MAX,
+            connection_limit=connections_max,
+            max_request_body_size=UNLIMITED_BYTES,
+            max_request_header_size=UNLIMITED_BYTES,
             inbuf_overflow=SPILL_THRESHOLD_BYTES,
             outbuf_overflow=SPILL_THRESHOLD_BYTES,
             outbuf_high_watermark=OUTPUT_HIGH_WATERMARK_BYTES,
@@ -235,15 +272,19 @@
             asyncore_use_poll=True,
             ident=None,
         )
-        channel_class = make_channel_class(is_leaving, is_ending, unanswered)
         # Each address has its own server in the map.
         self._listeners = [
             entry for entry in self._map.values() if hasattr(entry, "active_channels")
         ]
+        watch = CallerWatch(rules, self._listeners, connections_max)
+        channel_class = make_channel_class(
+            is_leaving, is_ending, unanswered, rules, watch.relieve
+        )
         for listener in self._listeners:
             listener.channel_class = channel_class
             listener.maintenance = partial(close_unused, listener)
-            pause_after_errors(listener)
+            limit_socket_buffers(listener)
+            pause_after_errors(listener, watch.sweep)
         self._thread = threading.Thread(
             target=self._serve, name=addresses[0], daemon=True
         )
@@ -309,4 +350,11 @@
         self._thread.join(STOP_TIMEOUT_S)
 
 
-__all__ = ["CALLER_THREADS", "STATUS_THREADS", "GatewayServer"]
+__all__ = [
+    "CALLERS_FDS_FRACTION",
+    "CALLER_THREADS",
+    "STATUS_FDS_FRACTION",
+    "STATUS_THREADS",
+    "GatewayServer",
+    "limit_connections",
+]
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -28,7 +28,8 @@
     ``repeat_ratio`` retries per first attempt plus ``repeat_base`` retries for all
     instances together. ``cpu_cores`` is the processor's share in standard cores.
     ``link_mbps`` is the bandwidth of the instance's link, ``memory_mb`` the memory at
-    which its process is killed.
+    which its process is killed, ``max_fds`` the number of its descriptors, 0 if the
+    file does not tell it.
     """
 
     instance: InstanceId
@@ -51,6 +52,7 @@
     cpu_cores: float = 1.0
     link_mbps: float = LINK_MBPS_DEFAULT
     memory_mb: float = MEMORY_MB_DEFAULT
+    max_fds: float = 0.0
 
 
 class DocumentReader:
@@ -164,6 +166,7 @@
         * read_limit(limits, "speed_factor", 1.0),
         link_mbps=read_limit(limits, "link_mbps", LINK_MBPS_DEFAULT),
         memory_mb=read_limit(limits, "memory_limit_mb", MEMORY_MB_DEFAULT),
+        max_fds=read_limit(limits, "max_fds", 0.0),
     )
 
 
@@ -172,8 +175,8 @@
 
     Notes
     -----
-    They only decide how many callers are sent to an instance and how much of their
-    answers it holds, so an odd value is no reason not to start.
+    They only decide how many callers are sent to an instance, how many connections it
+    takes and how much it holds for them, so an odd value is no reason not to start.
     """
     value = limits.get(name) if isinstance(limits, Mapping) else None
     try:
--- a/src/fescueflow/platform/documents.py
+++ b/src/fescueflow/platform/documents.py
@@ -276,10 +276,14 @@
 
 def parse_limits(document: dict[str, Any]) -> CallerLimits:
     """Return the limits on requests and connections of callers."""
+    head_s = None
+    if document.get("header_timeout_ms") is not None:
+        head_s = get_field(document, "header_timeout_ms", int, float) / 1000
     return CallerLimits(
         header_bytes=get_field(document, "max_header_bytes", int),
         body_bytes=get_field(document, "max_body_bytes", int),
         idle_s=get_field(document, "idle_timeout_ms", int, float) / 1000,
+        head_s=head_s,
     )
 
 
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -12,6 +12,14 @@
     select_in_time,
 )
 from fescueflow.routing.buckets import TokenBuckets
+from fescueflow.routing.caller_bounds import (
+    PROGRESS_BYTES,
+    CallerBound,
+    CallerProgress,
+    Hold,
+    choose_yielding,
+    find_breach,
+)
 from fescueflow.routing.crashes import (
     Crash,
     CrashId,
@@ -96,6 +104,12 @@
 from fescueflow.routing.survival import SURVIVAL_S, BegunAnswer, UnprovenAnswers
 
 __all__ = [
+    "PROGRESS_BYTES",
+    "CallerBound",
+    "CallerProgress",
+    "Hold",
+    "choose_yielding",
+    "find_breach",
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
     "PRIORITY_HIGHEST",
--- a/src/fescueflow/routing/model.py
+++ b/src/fescueflow/routing/model.py
@@ -99,11 +99,15 @@
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """Limits on the size of a caller's request and on its idle time."""
+    """Limits on the size of a caller's request and on its idle time.
+
+    ``head_s`` is the time for a head, ``None`` if the configuration names none.
+    """
 
     header_bytes: int
     body_bytes: int
     idle_s: float
+    head_s: float | None = None
 
 
 @dataclass(frozen=True)
