Cut unread answers when threads or connections run out

Answers that nobody reads held 128 threads, or all connections, for 30 s. Those of which nothing was taken for 5 s now give way while requests wait for threads or hardly any connection is free. Limits are looked up once for each body.

Run: test_request_fuzz 7 pass; test_answers_that_are_never_read takes 7 s instead of 16 s, of which 4 s settle. Reading a request of 2 KB: 54 to 57 us against 43 to 44 us in the library alone, of 48 KB: 80 against 58 us (process time on a busy machine).

--- a/src/fescueflow/gateway/caller_memory.py
+++ b/src/fescueflow/gateway/caller_memory.py
@@ -47,6 +47,7 @@
     def __init__(self, memory_bytes: float) -> None:
         self._limit = int(memory_bytes * MEMORY_FRACTION)
         self._surplus_limit = int(memory_bytes * SURPLUS_FRACTION)
+        self._exhausted_limit = int(self._limit * (1 + MARGIN_FRACTION))
         self._held = 0
         self._surplus = 0
         # Reentrant: a request that the garbage collector ends gives back its bytes.
@@ -65,10 +66,14 @@
     @property
     def is_exhausted(self) -> bool:
         """Whether nobody could give way and no request is taken in any more."""
-        return self._held > self._limit * (1 + MARGIN_FRACTION)
+        return self._held > self._exhausted_limit
 
     def move(self, before: int, after: int) -> None:
         """Change what one request, answer or output holds, in bytes."""
+        if before <= SMALL_BYTES and after <= SMALL_BYTES:
+            with self._lock:
+                self._held += after - before
+            return
         surplus = max(0, after - SMALL_BYTES) - max(0, before - SMALL_BYTES)
         with self._lock:
             self._held += after - before
--- a/src/fescueflow/gateway/caller_requests.py
+++ b/src/fescueflow/gateway/caller_requests.py
@@ -132,6 +132,8 @@
         self.progress_at = time.monotonic()
         # Size of the body at that time, ``None`` while the head is read.
         self._progress_bytes: int | None = None
+        # The configuration's limit when the head had been read.
+        self._body_bytes_max: int | None = None
         # The server's loop and a worker thread may find the end at the same time.
         self._settle_lock = threading.Lock()
         self._is_settled = False
@@ -149,14 +151,16 @@
         if not self.completed:
             self._note_progress()
             return count
-        if self.error is None and self.rules.memory.is_exhausted:
-            self.refuse(Overloaded("too many requests", None, RETRY_AFTER_MS))
-            self.rules.record(self.address, CallerBound.MEMORY, 0)
         self.read_at = time.monotonic()
         # The library would go on with a request that is complete without a body.
         self.expect_continue = False
+        if self.error is None:
+            if not self.rules.memory.is_exhausted:
+                return count
+            self.refuse(Overloaded("too many requests", None, RETRY_AFTER_MS))
+            self.rules.record(self.address, CallerBound.MEMORY, 0)
         # What follows a request with an error is not read as another one.
-        return len(data) if self.error else count
+        return len(data)
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the head; prepare to receive the body.
@@ -215,13 +219,15 @@
 
     def _check_size(self) -> None:
         """Refuse a request whose head or body is too large."""
-        head_bytes = self.rules.get_head_bytes()
-        if self.header_bytes_received > head_bytes:
-            self._refuse_size(HeadTooLarge, CallerBound.HEAD_BYTES, head_bytes)
-            return
-        if self.body_rcv is None:
-            return
-        body_bytes = self.rules.get_body_bytes()
+        if self._body_bytes_max is None:
+            head_bytes = self.rules.get_head_bytes()
+            if self.header_bytes_received > head_bytes:
+                self._refuse_size(HeadTooLarge, CallerBound.HEAD_BYTES, head_bytes)
+                return
+            if self.body_rcv is None:
+                return
+            self._body_bytes_max = self.rules.get_body_bytes()
+        body_bytes = self._body_bytes_max
         is_over = self.content_length > body_bytes
         if self.chunked:
             sent_max = body_bytes * CHUNKED_FACTOR + CHUNKED_SLACK_BYTES
--- a/src/fescueflow/gateway/caller_watch.py
+++ b/src/fescueflow/gateway/caller_watch.py
@@ -24,6 +24,11 @@
 # Time without a byte after which a connection may be closed for others: TCP resends a
 # lost packet sooner.
 UNUSED_S = 1.0
+# Time without progress after which an answer may be cut if requests wait for threads or
+# callers for connections: TCP resends a packet that was lost twice sooner.
+UNREAD_S = 5.0
+# Answers that are cut at a time for that.
+UNREAD_CUT_MAX = 32
 
 log = logbook.Logger("server")
 
@@ -56,6 +61,7 @@
         if elapsed_s < SWEEP_LATE_S:
             self._end_slow(now)
         self.relieve()
+        self._free_threads(now)
         self._free_connections(now)
 
     def relieve(self) -> None:
@@ -88,6 +94,22 @@
             if bound is not None:
                 self._end(channel, bound, RequestTooSlow("the request came too slowly"))
 
+    def _free_threads(self, now: float) -> None:
+        """Cut answers that are not taken if requests wait for their threads."""
+        if not self._listeners[0].task_dispatcher.queue:
+            return
+        unread = [
+            channel
+            for channel in self._list_channels()
+            if channel.total_outbufs_len
+            and channel.requests
+            and now - channel.taken_at > UNREAD_S
+        ]
+        unread.sort(key=lambda channel: channel.taken_at)
+        for channel in unread[:UNREAD_CUT_MAX]:
+            error = Overloaded("out of threads", None, RETRY_AFTER_MS)
+            self._end(channel, CallerBound.THREADS, error)
+
     def _free_connections(self, now: float) -> None:
         """Close unused connections if there are hardly any left for others.
 
@@ -105,7 +127,7 @@
         unused.sort(key=lambda channel: channel.received_at)
         count = int(self._connections_max * CONNECTIONS_CLOSED_FRACTION)
         for channel in unused[:count]:
-            if channel.request is not None:
+            if channel.request is not None or channel.total_outbufs_len:
                 error = Overloaded("too many connections", None, RETRY_AFTER_MS)
                 self._end(channel, CallerBound.CONNECTIONS, error)
                 continue
@@ -114,7 +136,9 @@
 
     @staticmethod
     def _is_unused(channel: Any, idle_s: float, now: float) -> bool:
-        if channel.requests or channel.total_outbufs_len or channel.is_lingering:
+        if channel.total_outbufs_len:
+            return bool(now - channel.taken_at > UNREAD_S)
+        if channel.requests or channel.is_lingering:
             return False
         if channel.request is not None:
             return bool(now - channel.request.progress_at > UNUSED_S)
--- a/src/fescueflow/routing/caller_bounds.py
+++ b/src/fescueflow/routing/caller_bounds.py
@@ -31,6 +31,7 @@
     ANSWER_PROGRESS = "answer_progress"
     MEMORY = "memory"
     CONNECTIONS = "connections"
+    THREADS = "threads"
 
 
 @dataclass(frozen=True, slots=True)
