--- a/tests/gateway/test_request_fuzz.py
+++ b/tests/gateway/test_request_fuzz.py
@@ -6,8 +6,9 @@
 from hypothesis import example, given, seed, settings
 from hypothesis import strategies as st
 from waitress.adjustments import Adjustments
+from waitress.receiver import ChunkedReceiver
 
-from fescueflow.gateway.caller_bodies import read_whole
+from fescueflow.gateway.caller_bodies import BodyBuffer, BoundedChunks, read_whole
 from fescueflow.gateway.caller_memory import CallerMemory
 from fescueflow.gateway.caller_requests import CallerParser, CallerRules
 from fescueflow.gateway.unanswered import UnansweredRequests
@@ -152,6 +153,25 @@
         expected = [("POST", "/a", body), ("GET", "/b", b"")]
         self.assertEqual([describe(parser) for parser in parsers], expected)
 
+    @seed(4)
+    @settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @given(st.lists(st.one_of(chunks, raw), max_size=8), st.integers(1, 40))
+    def test_chunks_as_the_library_reads_them(self, parts, size):
+        """Guards against a shorter way that reads chunks in another way."""
+        # Longer size lines are refused here only.
+        data = b"".join(part[:500] for part in parts)
+        plain, bounded = ChunkedReceiver(BodyBuffer()), BoundedChunks(BodyBuffer())
+        for receiver in (plain, bounded):
+            for start in range(0, len(data), size):
+                if receiver.error or receiver.completed:
+                    break
+                receiver.received(data[start : start + size])
+        self.assertEqual(bool(plain.error), bool(bounded.error))
+        if plain.error is None:
+            self.assertEqual(plain.completed, bounded.completed)
+            self.assertEqual(plain.getfile().read(), bounded.getfile().read())
+            self.assertEqual(plain.control_line, bounded.control_line)
+
     def test_coding_that_an_older_version_does_not_have(self):
         for version in (b"1.0", b"9.9"):
             data = b"POST /a HTTP/%s\r\nTransfer-Encoding: chunked\r\n\r\n" % version
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -18,6 +18,13 @@
         self.assertEqual((boot.server_heartbeat_s, boot.grace_s), (1.2, 8.0))
         self.assertEqual(boot.peer_port, 7001)
 
+    def test_machine(self):
+        """Guards against limits of callers that another machine's figures decide."""
+        text = render_boot() + "[limits]\nmemory_limit_mb = 152\nmax_fds = 1535\n"
+        boot = parse_boot(text)
+        self.assertEqual((boot.memory_mb, boot.max_fds), (152.0, 1535.0))
+        self.assertEqual(parse_boot(render_boot()).max_fds, 0.0)
+
     def test_all_problems_at_once(self):
         text = render_boot(callers=0).replace('zone = "a"', "zone = 3")
         text = text.replace("ttl_max_s = 5", "")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -122,6 +122,12 @@
         self.assertEqual(table.customers["k2"].id, "c1")
         self.assertEqual(table.services["s1"].engine.slots, 128)
 
+    def test_time_for_heads(self):
+        limits = TABLE["limits"]
+        self.assertIsNone(parse_table(encode(TABLE)).limits.head_s)
+        table = parse_table(encode(TABLE, limits={**limits, "header_timeout_ms": 3000}))
+        self.assertEqual(table.limits.head_s, 3.0)
+
     def test_copy_rate_of_engines(self):
         # At 35,136 bytes per token, 550 Gbit/s are 1,957 tokens per millisecond.
         service = TABLE["services"][0]
