Release the body of a request with its answer

A request's context referred to itself through its silence watch and through the attempt's check of the caller, so that the body stayed until the garbage collector ran, outside the account. Both now refer to it weakly.

The new test_series_of_bodies_of_legal_size (30 bodies of 4 MiB) passes on both. Also run: test_silent_upstreams 11, test_broken_streams 3, test_open_attempts 6, test_path 28, test_query_of_death 8 pass.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -5,6 +5,7 @@
 begun; whichever responds first goes on, and the other one is ended.
 """
 
+import weakref
 from collections.abc import Callable
 from functools import partial
 
@@ -183,24 +184,28 @@
         self, context: RequestContext, get_last_event: Callable[[], str | None]
     ) -> SilenceWatch:
         """Return the watch over the pauses of a stream that has begun."""
+        watched = weakref.proxy(context)
         return SilenceWatch(
             suspicion_s=SUSPICION_S,
             patience_s=compute_patience(context.route),
             deadline=context.deadline,
             now=self._clock.monotonic(),
             may_replace=lambda: (
-                get_last_event() is not None and self.can_retry_elsewhere(context)
+                get_last_event() is not None and self.can_retry_elsewhere(watched)
             ),
         )
 
     def _watch_beginning(self, context: RequestContext) -> SilenceWatch:
         """Return the watch over the time until a response begins."""
+        # The context holds the watch: a cycle would keep the request's body until the
+        # garbage collector runs.
+        watched = weakref.proxy(context)
         return SilenceWatch(
             suspicion_s=compute_first_byte_wait(context.route),
             patience_s=compute_patience(context.route),
             deadline=context.deadline,
             now=self._clock.monotonic(),
-            may_replace=lambda: self.can_retry_elsewhere(context),
+            may_replace=lambda: self.can_retry_elsewhere(watched),
         )
 
     def _may_go_on(self, context: RequestContext, attempt: Attempt) -> bool:
@@ -274,7 +279,8 @@
             selection,
             context.prompt,
             context.deadline,
-            partial(self._check_waiting, context, admission),
+            # The context holds the attempt, see `_watch_beginning`.
+            partial(self._check_waiting, weakref.proxy(context), admission),
         )
 
     def _send(
--- a/tests/gateway/test_caller_refusals.py
+++ b/tests/gateway/test_caller_refusals.py
@@ -1,9 +1,11 @@
 """Tests of the refusals of requests that are outside the limits."""
 
 import contextlib
+import gc
 import json
 import socket
 
+from fescueflow.gateway.requests import CallerRequest
 from tests.gateway.gateway_case import GatewayTestCase, make_table
 from tests.gateway.outside_callers import CHUNKED, HEAD, iterate_chunks, render_length
 from tests.gateway.raw_callers import connect, list_statuses, read_all
@@ -83,3 +85,14 @@
             caller.close()
         self.assertEqual(self.call("/safe/1")[0], 200)
         self.wait_for(lambda: self.gateway._rules.memory.held_bytes == 0)
+
+    def test_request_after_its_answer(self):
+        """Guards against bodies that stay until the garbage collector runs."""
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for target in ("/safe/1", "/stream/1", "/once/1"):
+            self.assertEqual(self.call(target)[0], 200)
+        self.wait_for(
+            lambda: not any(isinstance(o, CallerRequest) for o in gc.get_objects())
+        )
--- a/tests/gateway/test_outside_callers.py
+++ b/tests/gateway/test_outside_callers.py
@@ -240,6 +240,12 @@
         self.wait_for_answer(b"x" * BODY_BYTES)
         self.assertLess(read_peak_bytes(self.process), MEMORY_MB * 1e6)
 
+    def test_series_of_bodies_of_legal_size(self):
+        """Guards against bodies that are kept after their requests."""
+        for _ in range(30):
+            self.assertEqual(self.call(b"x" * BODY_BYTES), 200)
+        self.assertLess(read_peak_bytes(self.process), MEMORY_MB * 1e6)
+
 
 if __name__ == "__main__":
     unittest.main()
