--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -38,8 +38,9 @@
     ``repeat_ratio`` retries per first attempt plus ``repeat_base`` retries for all
     instances together. ``cpu_cores`` is the processor's share in standard cores.
     ``link_mbps`` is the bandwidth of the instance's link, ``memory_mb`` the memory at
-    which its process is killed. ``evacuation_s`` is the time within which a withdrawn
-    zone gets nothing any more.
+    which its process is killed, ``max_fds`` the number of its descriptors, 0 if the
+    file does not tell it. ``evacuation_s`` is the time within which a withdrawn zone
+    gets nothing any more, and ``features`` are the optional mechanisms in use.
     """
 
     instance: InstanceId
@@ -64,6 +65,7 @@
     memory_mb: float = MEMORY_MB_DEFAULT
     features: frozenset[Feature] = ALL_FEATURES
     evacuation_s: float = EVACUATION_S_DEFAULT
+    max_fds: float = 0.0
 
 
 class DocumentReader:
@@ -178,6 +180,7 @@
         link_mbps=read_limit(limits, "link_mbps", LINK_MBPS_DEFAULT),
         memory_mb=read_limit(limits, "memory_limit_mb", MEMORY_MB_DEFAULT),
         evacuation_s=read_evacuation(document.get("bounds")),
+        max_fds=read_limit(limits, "max_fds", 0.0),
     )
 
 
@@ -186,8 +189,8 @@
 
     Notes
     -----
-    They only decide how many callers are sent to an instance and how much of their
-    answers it holds, so an odd value is no reason not to start.
+    They only decide how many callers are sent to an instance, how many connections it
+    takes and how much it holds for them, so an odd value is no reason not to start.
     """
     value = limits.get(name) if isinstance(limits, Mapping) else None
     try:
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -13,6 +13,14 @@
 )
 from fescueflow.routing.buckets import TokenBuckets
 from fescueflow.routing.caller_ages import RETURN_MIN_S, CallerAges
+from fescueflow.routing.caller_bounds import (
+    PROGRESS_BYTES,
+    CallerBound,
+    CallerProgress,
+    Hold,
+    choose_yielding,
+    find_breach,
+)
 from fescueflow.routing.coordinators import (
     CoordinatorCandidate,
     choose_coordinator,
@@ -124,6 +132,12 @@
 from fescueflow.routing.told_speeds import SpeedUpdate
 
 __all__ = [
+    "PROGRESS_BYTES",
+    "CallerBound",
+    "CallerProgress",
+    "Hold",
+    "choose_yielding",
+    "find_breach",
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
     "PRIORITY_HIGHEST",
--- a/tests/gateway/test_shared_values.py
+++ b/tests/gateway/test_shared_values.py
@@ -10,6 +10,8 @@
 
 from fescueflow.core import Revision, SeededRandomSource, SystemClock
 from fescueflow.gateway import Gateway
+from fescueflow.gateway.caller_memory import CallerMemory
+from fescueflow.gateway.caller_requests import CallerRules
 from fescueflow.gateway.server import GatewayServer
 from fescueflow.gateway.shared_values import (
     ANSWERS_MAX,
@@ -118,6 +120,7 @@
             threads=1,
             is_leaving=lambda: False,
             unanswered=UnansweredRequests(Metrics()),
+            rules=CallerRules(CallerMemory(256e6), lambda: None, self.metrics),
         )
         server.start()
         self.addCleanup(server.stop)
