Keep a place in the queue after one lost naming

One missing answer to the naming of a queued request sent it without a permit and paused the coordinator, so that all other waiting requests of the instance left the queue and were sent at once. A request now leaves after two missed namings, waiting requests ignore pauses, and pauses are spread over 1.0 to 1.3 s by instance.

Three tests fail before this change: a lost naming, a pause while requests wait, the spread.

--- a/src/fescueflow/gateway/coordinators.py
+++ b/src/fescueflow/gateway/coordinators.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+import zlib
 from collections.abc import Callable
 
 from fescueflow.core import InstanceId
@@ -20,6 +21,9 @@
 # Time after an unanswered request in which no permit is asked for, in seconds
 # (docs/design/two-deployments.md, part 3).
 UNANSWERED_PAUSE_S = 1.0
+# The longest pause of any instance, in seconds. Pauses are spread by instance, so that
+# the instances do not all ask again at the same moment.
+UNANSWERED_PAUSE_MAX_S = 1.3
 # Time for which the coordinator of a service is used again, in seconds; instances hear
 # of a change much later.
 COORDINATOR_CACHE_S = 0.2
@@ -52,17 +56,21 @@
         self._chosen: dict[ServiceId, tuple[float, PeerRecord | None]] = {}
 
     def find(self, service: ServiceId, now: float) -> PeerRecord | None:
-        """Return the coordinator to ask, ``None`` if no permit is needed."""
-        known = self._chosen.get(service)
-        if known is None or not 0 <= now - known[0] < COORDINATOR_CACHE_S:
-            known = now, self._choose(service, now)
-            self._chosen[service] = known
-        coordinator = known[1]
+        """Return the coordinator to ask, ``None`` if there is none or it is paused."""
+        coordinator = self.find_chosen(service, now)
         if coordinator is None:
             return None
         paused_until = self._paused_until.get(coordinator.instance, -math.inf)
         return coordinator if paused_until <= now else None
 
+    def find_chosen(self, service: ServiceId, now: float) -> PeerRecord | None:
+        """Return the coordinator, paused or not, ``None`` if no permit is needed."""
+        known = self._chosen.get(service)
+        if known is None or not 0 <= now - known[0] < COORDINATOR_CACHE_S:
+            known = now, self._choose(service, now)
+            self._chosen[service] = known
+        return known[1]
+
     def _choose(self, service: ServiceId, now: float) -> PeerRecord | None:
         known = self._find_service(service)
         if known is None or known.engine is not None:
@@ -80,11 +88,18 @@
 
     def pause(self, coordinator: InstanceId, now: float) -> None:
         """Ask a coordinator that did not answer for no permit for some time."""
+        own = self._peers.get_own_record().instance
         with self._lock:
             self._paused_until = {
                 name: until for name, until in self._paused_until.items() if until > now
             }
-            self._paused_until[coordinator] = now + UNANSWERED_PAUSE_S
+            self._paused_until[coordinator] = now + compute_pause(own)
+
+
+def compute_pause(instance: InstanceId) -> float:
+    """Return the time for which an instance asks for no permit, in seconds."""
+    share = zlib.crc32(instance.encode(errors="replace")) / 2**32
+    return UNANSWERED_PAUSE_S + share * (UNANSWERED_PAUSE_MAX_S - UNANSWERED_PAUSE_S)
 
 
 def list_candidates(
--- a/src/fescueflow/gateway/permits.py
+++ b/src/fescueflow/gateway/permits.py
@@ -46,6 +46,9 @@
 # answer shows that the coordinator still runs; a fifth of the shortest objective's
 # deadline, and few messages beside those of the request.
 QUEUE_CHECK_S = 0.25
+# Namings in a row without an answer after which a queued request gives up its place. A
+# single lost datagram would otherwise send it beyond the slots.
+MISSED_MAX = 2
 # Time left below which a queued request gives up, in mean durations.
 START_DURATIONS = 1.0
 # Retry delay of a request that gave up by itself, in milliseconds: some mean durations.
@@ -196,6 +199,7 @@
         CallerDisconnected
             If the caller disconnects.
         """
+        is_confirmed, missed = False, 0
         while True:
             asked_at = self._clock.monotonic()
             waiter.queued = None
@@ -205,8 +209,12 @@
             self._ask(need, waiter, coordinator, asked_at)
             self._clock.wait(waiter.event, ANSWER_TIMEOUT_S + self._delay_s)
             if waiter.queued is None and waiter.final is None:
-                return
-            self._record_delay(self._clock.monotonic() - asked_at)
+                missed += 1
+                if not is_confirmed or missed >= MISSED_MAX:
+                    return
+            else:
+                is_confirmed, missed = True, 0
+                self._record_delay(self._clock.monotonic() - asked_at)
             if not self._await_turn(need, waiter):
                 return
             if not self._is_coordinator(waiter, need.service):
@@ -355,7 +363,7 @@
             self._return(sent.sender, answer.id, answer.service, PermitEnd.UNUSED, 0.0)
 
     def _is_coordinator(self, waiter: Waiter, service: ServiceId) -> bool:
-        current = self.coordinators.find(service, self._clock.monotonic())
+        current = self.coordinators.find_chosen(service, self._clock.monotonic())
         return current is not None and current.instance == waiter.coordinator
 
     def _record_delay(self, seconds: float) -> None:
