Refuse no permit while slots are free

A request was refused as hopeless by the mean duration although a slot was free, and the mean, which only samples change, kept refusing. Refusals now need a wait, free slots are granted before hopeless requests are removed from the queue, and a mean above the default falls towards it without samples. Durations move to permit_durations.py.

--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -5,7 +5,6 @@
 have free slots, and requests that are late already run before those in time.
 """
 
-import math
 from collections import Counter, OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 from fescueflow.core import InstanceId, UpstreamId
 from fescueflow.routing.health import UpstreamHealth
 from fescueflow.routing.model import ServiceId
+from fescueflow.routing.permit_durations import PermitDurations
 from fescueflow.routing.permit_queue import PermitId, PermitQueue, PermitRequest
 from fescueflow.routing.return_slots import ReturnSlots, TokenSupply
 
@@ -23,15 +23,6 @@
 # Life of a permit that is not returned, in mean durations and at least in seconds.
 LIFE_DURATIONS = 4.0
 LIFE_MIN_S = 1.0
-# Mean duration before any request has ended: that of a short response, in seconds.
-DURATION_DEFAULT_S = 0.1
-# Weights of the latest duration: that of the service is the mean of many upstreams'
-# samples, that of one upstream has to follow a change within about a second.
-SERVICE_WEIGHT = 0.05
-UPSTREAM_WEIGHT = 0.1
-# Time constant with which an upstream's duration is forgotten, in seconds: one that is
-# handed out seldom would otherwise count as slow for long after it has recovered.
-DURATION_MEMORY_S = 3.0
 # Longest queue: what 18 slots of 90 ms work off in about 2.5 s.
 QUEUE_MAX = 512
 # Time for which ended permits are remembered, so that a late or doubled datagram does
@@ -96,9 +87,7 @@
         self._ended: OrderedDict[PermitId, float] = OrderedDict()
         self._queue = PermitQueue()
         self._return_slots = ReturnSlots()
-        self._mean_s = DURATION_DEFAULT_S
-        # Duration of each upstream, and when it was measured.
-        self._durations_s: dict[UpstreamId, tuple[float, float]] = {}
+        self._durations = PermitDurations()
         # Until when an upstream counts as fuller than its permits tell, for each of its
         # refusals.
         self._full_until: dict[UpstreamId, list[float]] = {}
@@ -129,7 +118,7 @@
         """Note a permit in use that another coordinator has granted."""
         if permit in self._uses or permit in self._ended or permit in self._queue:
             return
-        expires_at = now - age_s + self._compute_life()
+        expires_at = now - age_s + self._compute_life(now)
         if expires_at > now:
             self._uses[permit] = PermitUse(upstream, instance, expires_at)
             self._in_use[upstream] += 1
@@ -152,11 +141,14 @@
             return [*answers, self._answer_queued(request)]
         if not self._slots.keys() - request.avoid:
             return [*answers, self._decide(request, PermitDecision.OPEN)]
+        mean_s = self._durations.get_mean(now)
         wait_s = self._estimate_wait(request, now)
-        is_hopeless = now + wait_s + self._mean_s > request.deadline_at
+        # A request that need not wait is sent, as a mean that is too long would never
+        # be corrected otherwise.
+        is_hopeless = wait_s > 0 and now + wait_s + mean_s > request.deadline_at
         if is_hopeless or len(self._queue) >= QUEUE_MAX:
             return [*answers, self._refuse(request, wait_s, now)]
-        self._queue.add(request, self._mean_s, now)
+        self._queue.add(request, mean_s, now)
         answers += self._grant(now)
         if request.id in self._queue:
             answers.append(self._answer_queued(request))
@@ -187,20 +179,22 @@
             self._forget(permit, now)
         while self._ended and now - next(iter(self._ended.values())) > ENDED_MEMORY_S:
             self._ended.popitem(last=False)
-        hopeless = self._queue.pop_hopeless(self._mean_s, now)
-        answers = [
-            self._refuse(request, self._compute_turn(), now) for request in hopeless
+        answers = self._grant(now)
+        hopeless = self._queue.pop_hopeless(self._durations.get_mean(now), now)
+        return answers + [
+            self._refuse(request, self._compute_turn(now), now) for request in hopeless
         ]
-        return answers + self._grant(now)
 
     def _record_end(
         self, upstream: UpstreamId, end: PermitEnd, duration_s: float, now: float
     ) -> None:
         if end is PermitEnd.FULL:
-            self._full_until.setdefault(upstream, []).append(now + self._mean_s)
+            self._full_until.setdefault(upstream, []).append(
+                now + self._durations.get_mean(now)
+            )
         elif end is PermitEnd.ANSWERED:
             self._health.record_success(upstream)
-            self._record_duration(upstream, duration_s, now)
+            self._durations.record(upstream, duration_s, now)
         elif end in (PermitEnd.FAILED, PermitEnd.UNREACHABLE):
             is_down = end is PermitEnd.UNREACHABLE
             self._health.record_failure(upstream, now, is_down)
@@ -212,7 +206,7 @@
             free = {u for u in self._list_usable(now) if self._count_free(u, now) > 0}
             if not free:
                 break
-            request = self._queue.pop(self._mean_s, now, free)
+            request = self._queue.pop(self._durations.get_mean(now), now, free)
             if request is None:
                 break
             costs = {
@@ -220,7 +214,7 @@
                 for upstream in free - request.avoid
             }
             upstream = min(costs, key=lambda name: (costs[name], name))
-            expires_at = now + self._compute_life()
+            expires_at = now + self._compute_life(now)
             self._uses[request.id] = PermitUse(upstream, request.instance, expires_at)
             self._in_use[upstream] += 1
             answers.append(self._answer(request, upstream))
@@ -243,12 +237,7 @@
     def _estimate_cost(self, upstream: UpstreamId, now: float) -> float:
         """Return the duration of one more request by the load of the slots."""
         load = (self._in_use[upstream] + 1) / self._slots[upstream]
-        return load * self._estimate_duration(upstream, now)
-
-    def _estimate_duration(self, upstream: UpstreamId, now: float) -> float:
-        known_s, measured_at = self._durations_s.get(upstream, (self._mean_s, now))
-        kept = math.exp(-max(0.0, now - measured_at) / DURATION_MEMORY_S)
-        return self._mean_s + kept * (known_s - self._mean_s)
+        return load * self._durations.estimate(upstream, now)
 
     def _estimate_wait(self, request: PermitRequest, now: float) -> float:
         """Return the expected time until a request is granted, in seconds."""
@@ -257,23 +246,15 @@
             for upstream in self._list_usable(now)
             if upstream not in request.avoid
         )
-        ahead = self._queue.count_ahead(request, self._mean_s, now)
-        return max(0, ahead + 1 - free) * self._compute_turn()
+        ahead = self._queue.count_ahead(request, self._durations.get_mean(now), now)
+        return max(0, ahead + 1 - free) * self._compute_turn(now)
 
-    def _compute_turn(self) -> float:
+    def _compute_turn(self, now: float) -> float:
         """Return the mean time from one end of a request to the next, in seconds."""
-        return self._mean_s / max(1, sum(self._slots.values()))
-
-    def _compute_life(self) -> float:
-        return max(LIFE_MIN_S, LIFE_DURATIONS * self._mean_s)
+        return self._durations.get_mean(now) / max(1, sum(self._slots.values()))
 
-    def _record_duration(
-        self, upstream: UpstreamId, duration_s: float, now: float
-    ) -> None:
-        known_s = self._estimate_duration(upstream, now)
-        known_s += UPSTREAM_WEIGHT * (duration_s - known_s)
-        self._durations_s[upstream] = known_s, now
-        self._mean_s += SERVICE_WEIGHT * (duration_s - self._mean_s)
+    def _compute_life(self, now: float) -> float:
+        return max(LIFE_MIN_S, LIFE_DURATIONS * self._durations.get_mean(now))
 
     def _forget(self, permit: PermitId, now: float) -> PermitUse | None:
         self._ended[permit] = now
@@ -288,7 +269,7 @@
     ) -> PermitAnswer:
         """Return a refusal with the next return slot of the request's class."""
         slots = sum(self._slots.values())
-        rate = 1.0 / self._compute_turn() if slots else 0.0
+        rate = 1.0 / self._compute_turn(now) if slots else 0.0
         supply = TokenSupply(whole=0, depth=slots, rate=rate, next_s=wait_s)
         retry_after_s = self._return_slots.take_slot(
             request.service, request.priority, supply, now
