Let the coordinator refuse hopeless requests in the queue

An instance gave up one mean duration of its own before the deadline, although it sends few requests and measures little. It now waits until 30 ms before the deadline, and the coordinator refuses what is hopeless. Answers to queued requests carry the expected wait, which becomes the Retry-After of a request that gives up.

Two tests fail before this change: a hopeless request, and a lost refusal. tests.routing.test_permits and the fleet tests of tests.gateway.test_permits pass.

--- a/src/fescueflow/gateway/permit_waits.py
+++ b/src/fescueflow/gateway/permit_waits.py
@@ -28,7 +28,10 @@
 
 @dataclass
 class Waiter:
-    """A request that waits for answers; ``final`` is any but that it is queued."""
+    """A request that waits for answers; ``final`` is any but that it is queued.
+
+    ``retry_after_s`` is the latest delay that the coordinator named, in seconds, or 0.
+    """
 
     id: PermitId
     coordinator: InstanceId
@@ -36,9 +39,11 @@
     event: threading.Event = field(default_factory=threading.Event)
     queued: PermitAnswer | None = None
     final: PermitAnswer | None = None
+    retry_after_s: float = 0.0
 
     def put(self, answer: PermitAnswer) -> None:
         """Store an answer; the first final one stays."""
+        self.retry_after_s = answer.retry_after_s or self.retry_after_s
         if answer.decision is PermitDecision.QUEUED:
             self.queued = answer
         elif self.final is None:
--- a/src/fescueflow/gateway/permits.py
+++ b/src/fescueflow/gateway/permits.py
@@ -49,9 +49,10 @@
 # Namings in a row without an answer after which a queued request gives up its place. A
 # single lost datagram would otherwise send it beyond the slots.
 MISSED_MAX = 2
-# Time left below which a queued request gives up, in mean durations.
-START_DURATIONS = 1.0
-# Retry delay of a request that gave up by itself, in milliseconds: some mean durations.
+# Time before its deadline at which a queued request gives up, in seconds: the answer
+# still has to reach the caller. The coordinator refuses hopeless requests before.
+GIVE_UP_MARGIN_S = 0.03
+# Retry delay without an estimate of the coordinator, in milliseconds.
 RETRY_AFTER_MS = 500
 
 log = logbook.Logger("permits")
@@ -92,8 +93,6 @@
     coordinators : Coordinators
     find_slots : callable
         Returns the upstreams of a service that may be handed out now, with their slots.
-    get_mean_duration_s : callable
-        Returns the mean duration of a service's requests at this instance.
     send : callable
         Sends a datagram to a host.
     clock : Clock
@@ -106,14 +105,12 @@
         peers: PeerTable,
         coordinators: Coordinators,
         find_slots: Callable[[ServiceId], Mapping[UpstreamId, int]],
-        get_mean_duration_s: Callable[[ServiceId], float],
         send: Callable[[str, bytes], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._peers = peers
         self.coordinators = coordinators
-        self._get_mean_duration_s = get_mean_duration_s
         self._send = send
         self._clock = clock
         self._metrics = metrics
@@ -230,8 +227,7 @@
         CallerDisconnected
             If the caller disconnects.
         """
-        mean_s = self._get_mean_duration_s(need.service)
-        give_up_at = need.deadline - START_DURATIONS * mean_s
+        give_up_at = need.deadline - GIVE_UP_MARGIN_S
         now = self._clock.monotonic()
         check_at = now + QUEUE_CHECK_S
         while waiter.final is None and now < min(check_at, give_up_at):
@@ -245,7 +241,8 @@
             raise CallerDisconnected("the caller closed its connection")
         if now >= give_up_at:
             raise Overloaded(
-                "no permit came before the deadline", retry_after_ms=RETRY_AFTER_MS
+                "no permit came before the deadline",
+                retry_after_ms=round(waiter.retry_after_s * 1000) or RETRY_AFTER_MS,
             )
         return True
 
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -287,7 +287,6 @@
                 find_service=self._platform_state.find_service,
             ),
             find_slots=lambda service: {u.id: u.slots for u in list_available(service)},
-            get_mean_duration_s=self._loads.get_mean_duration_s,
             send=lambda host, data: self._transport.send(host, data),
             clock=self._clock,
             metrics=self._metrics,
--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -57,7 +57,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitAnswer:
-    """Answer to an instance; ``retry_after_s`` is that of a refusal, in seconds."""
+    """Answer to an instance.
+
+    ``retry_after_s`` is that of a refusal, or the expected wait of a queued request, in
+    seconds.
+    """
 
     id: PermitId
     instance: InstanceId
@@ -138,7 +142,7 @@
         if use is not None:
             return [*answers, self._answer(request, use.upstream)]
         if request.id in self._queue:
-            return [*answers, self._answer_queued(request)]
+            return [*answers, self._answer_queued(request, now)]
         if not self._slots.keys() - request.avoid:
             return [*answers, self._decide(request, PermitDecision.OPEN)]
         mean_s = self._durations.get_mean(now)
@@ -151,7 +155,7 @@
         self._queue.add(request, mean_s, now)
         answers += self._grant(now)
         if request.id in self._queue:
-            answers.append(self._answer_queued(request))
+            answers.append(self._answer_queued(request, now))
         return answers
 
     def end(
@@ -247,7 +251,9 @@
             if upstream not in request.avoid
         )
         ahead = self._queue.count_ahead(request, self._durations.get_mean(now), now)
-        return max(0, ahead + 1 - free) * self._compute_turn(now)
+        # The requests ahead of one that waits include itself.
+        turns = ahead + (request.id not in self._queue) - free
+        return max(0, turns) * self._compute_turn(now)
 
     def _compute_turn(self, now: float) -> float:
         """Return the mean time from one end of a request to the next, in seconds."""
@@ -275,26 +281,23 @@
             request.service, request.priority, supply, now
         )
         self._forget(request.id, now)
-        return PermitAnswer(
-            request.id,
-            request.instance,
-            request.service,
-            PermitDecision.REFUSED,
-            retry_after_s=retry_after_s,
-            queue_length=len(self._queue),
+        return self._decide(
+            request, PermitDecision.REFUSED, retry_after_s=retry_after_s
         )
 
     def _answer(self, request: PermitRequest, upstream: UpstreamId) -> PermitAnswer:
         return self._decide(request, PermitDecision.GRANTED, upstream)
 
-    def _answer_queued(self, request: PermitRequest) -> PermitAnswer:
-        return self._decide(request, PermitDecision.QUEUED)
+    def _answer_queued(self, request: PermitRequest, now: float) -> PermitAnswer:
+        wait_s = self._estimate_wait(request, now)
+        return self._decide(request, PermitDecision.QUEUED, retry_after_s=wait_s)
 
     def _decide(
         self,
         request: PermitRequest,
         decision: PermitDecision,
         upstream: UpstreamId | None = None,
+        retry_after_s: float = 0.0,
     ) -> PermitAnswer:
         return PermitAnswer(
             request.id,
@@ -302,7 +305,8 @@
             request.service,
             decision,
             upstream,
-            queue_length=len(self._queue),
+            retry_after_s,
+            len(self._queue),
         )
 
 
--- a/tests/gateway/permit_fleet.py
+++ b/tests/gateway/permit_fleet.py
@@ -36,7 +36,6 @@
                 find_service=make_table().services.get,
             ),
             find_slots=lambda service: {u.id: u.slots for u in upstreams},
-            get_mean_duration_s=lambda service: 0.1,
             send=lambda host, data: fleet.send(self.name, host, data),
             clock=OwnedClock(fleet.time, self.name),
             metrics=self.metrics,
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -94,6 +94,32 @@
         self.assertGreater(result[0].retry_after_ms, 0)
         self.assertLess(result[1], 0.55)
 
+    def test_coordinator_refuses_what_is_hopeless(self):
+        # The instance must not refuse by the duration that it measures itself.
+        fleet = self.start()
+        first, second = fleet.list_others()[:2]
+        fleet.fill(first)
+        fleet.ask(second, deadline_s=0.6)
+        fleet.time.run(0.7)
+        self.assertEqual(second.count("refused"), 1)
+        self.assertEqual(second.count("given_up"), 0)
+
+    def test_lost_refusal(self):
+        fleet = self.start()
+        first, second = fleet.list_others()[:2]
+        fleet.fill(first)
+        queued = [fleet.ask(first, deadline_s=0.9) for _ in range(4)]
+        result = fleet.ask(second, deadline_s=0.9)
+        fleet.deliver = lambda sender, receiver, data: (
+            [] if b'"refused"' in data else [ONE_WAY_S]
+        )
+        fleet.time.run(0.9)
+        self.assertIsInstance(result[0], Overloaded)
+        self.assertGreater(result[1], 0.85)
+        # Five turns of 0.05 s each, as the coordinator estimated.
+        self.assertEqual(result[0].retry_after_ms, 250)
+        self.assertEqual(len(queued), 4)
+
     def test_refused_at_once(self):
         fleet = self.start()
         first, second = fleet.list_others()[:2]
