Answer queued requests whose upstreams have gone

A queued request waited until it was hopeless if all upstreams that it may use went away. The coordinator now answers open as soon as the set of upstreams changes so, as it does for a new request.

One test fails before this change. tests.routing.test_permits passes.

--- a/src/fescueflow/routing/permit_queue.py
+++ b/src/fescueflow/routing/permit_queue.py
@@ -126,6 +126,15 @@
                 hopeless.append(request)
         return hopeless
 
+    def pop_stranded(self, usable: AbstractSet[UpstreamId]) -> list[PermitRequest]:
+        """Remove and return the requests that none of the upstreams may serve."""
+        return [
+            request
+            for group in self._groups.values()
+            for _, request in group.heap
+            if not usable - request.avoid and self.remove(request.id)
+        ]
+
     def _insert(
         self, request: PermitRequest, late: bool, order: int, waits_since: float
     ) -> None:
--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -86,6 +86,8 @@
 
     def __init__(self) -> None:
         self._slots: Mapping[UpstreamId, int] = {}
+        # Whether upstreams may have gone since the queue was searched for them.
+        self._have_changed = False
         self._uses: dict[PermitId, PermitUse] = {}
         self._in_use: Counter[UpstreamId] = Counter()
         self._ended: OrderedDict[PermitId, float] = OrderedDict()
@@ -105,6 +107,7 @@
 
     def set_upstreams(self, slots: Mapping[UpstreamId, int]) -> None:
         """Set the upstreams that may be handed out, with their slots."""
+        self._have_changed |= slots.keys() != self._slots.keys()
         self._slots = slots
 
     def count_in_use(self, upstream: UpstreamId) -> int:
@@ -183,12 +186,20 @@
             self._forget(permit, now)
         while self._ended and now - next(iter(self._ended.values())) > ENDED_MEMORY_S:
             self._ended.popitem(last=False)
-        answers = self._grant(now)
+        answers = [*self._release_stranded(), *self._grant(now)]
         hopeless = self._queue.pop_hopeless(self._durations.get_mean(now), now)
         return answers + [
             self._refuse(request, self._compute_turn(now), now) for request in hopeless
         ]
 
+    def _release_stranded(self) -> list[PermitAnswer]:
+        """Answer the queued requests for which no upstream is left."""
+        if not self._have_changed:
+            return []
+        self._have_changed = False
+        stranded = self._queue.pop_stranded(self._slots.keys())
+        return [self._decide(request, PermitDecision.OPEN) for request in stranded]
+
     def _record_end(
         self, upstream: UpstreamId, end: PermitEnd, duration_s: float, now: float
     ) -> None:
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -335,6 +335,19 @@
         answers += pool.end(PermitId("fill1"), PermitEnd.FAILED, 0.0, 0.1)
         self.assertEqual([a.upstream for a in answers], [UPSTREAMS[1]])
 
+    def test_all_upstreams_of_a_queued_request_leave(self):
+        pool = make_pool(upstreams=UPSTREAMS[:2])
+        fill_pool(pool, count=4)
+        pool.ask(make_request("one", avoid=frozenset(UPSTREAMS[1:])), 0.0)
+        pool.ask(make_request("any"), 0.0)
+        pool.set_upstreams({UPSTREAMS[1]: 1})
+        answers = pool.advance(0.01)
+        self.assertEqual([(a.id, a.decision) for a in answers], [("one", OPEN)])
+        pool.set_upstreams({})
+        answers = pool.advance(0.02)
+        self.assertEqual([(a.id, a.decision) for a in answers], [("any", OPEN)])
+        self.assertFalse(pool.has_waiting)
+
     @settings(max_examples=100, deadline=None)
     @given(
         st.lists(
