Send replacements of silent attempts without permits

If the silent attempt had no permit, its replacement asked for one and might wait in the queue. It now goes without in any case.

One test fails before this change (504 instead of 200). The test passes.

--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -252,7 +252,12 @@
         """Return whether the route allows another attempt of a request that ran."""
         return may_retry(context.route, AttemptFailure.BROKEN, context.attempts_sent)
 
-    def _connect(self, context: RequestContext, last_event: str | None) -> Attempt:
+    def _connect(
+        self,
+        context: RequestContext,
+        last_event: str | None,
+        is_replacement: bool = False,
+    ) -> Attempt:
         """Return an attempt at a selected upstream, with nothing sent yet."""
         now = self._clock.monotonic()
         if now >= context.deadline:
@@ -260,7 +265,9 @@
         self._client.check_survivors()
         admission = self._quarantine.admit(context.service, context.prompt)
         priority = context.priority if last_event is None else PRIORITY_HIGHEST
-        selection = self._select(context, admission.isolation_key, priority)
+        selection = self._select(
+            context, admission.isolation_key, priority, is_replacement
+        )
         now = self._clock.monotonic()
         context.tried.add(selection.upstream.id)
         context.upstream = selection.upstream
@@ -280,10 +287,17 @@
         )
 
     def _select(
-        self, context: RequestContext, isolation_key: str | None, priority: int
+        self,
+        context: RequestContext,
+        isolation_key: str | None,
+        priority: int,
+        is_replacement: bool,
     ) -> Selection:
         """Return the selected upstream, with a permit where the service needs them.
 
+        The replacement of a silent attempt goes without a permit, as the silent attempt
+        is not read while it would wait for one.
+
         Raises
         ------
         RequestError
@@ -293,7 +307,7 @@
         # A request that is sent apart has to go to an upstream of its own.
         if isolation_key is None and self._permits.is_needed(context):
             permitted = self._permits.find_limited(context)
-            if permitted is None:
+            if permitted is None and not is_replacement:
                 permit = self._permits.acquire(context, priority)
         if permit is not None:
             permitted = permit.upstream
@@ -392,7 +406,7 @@
             try:
                 self.check_retry(context, failure)
                 is_counted = True
-                return self._connect(context, last_event)
+                return self._connect(context, last_event, is_replacement=True)
             except ExchangeFailed as next_failure:
                 failure = next_failure
                 log_failure(context, failure, self._clock)
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -23,6 +23,7 @@
 from tests.gateway.builders import make_boot
 from tests.gateway.gateway_case import GatewayTestCase
 from tests.gateway.permit_fleet import ONE_WAY_S, SLOTS, PermitFleet
+from tests.gateway.test_replacements import ReplacementCase
 from tests.routing.builders import BOOKINGS
 from tests.standins.fleet import find_free_port
 
@@ -457,6 +458,28 @@
         self.check_returned()
 
 
+class ReplacementPermitTest(ReplacementCase):
+    """Guards against replacements of silent attempts that wait in the queue."""
+
+    def test_replacement_without_a_permit(self):
+        client = self.gateway._permits
+        asked = []
+
+        def acquire(need):
+            asked.append(need)
+            if len(asked) > 1:
+                raise Overloaded("queued in vain", retry_after_ms=1)
+
+        self.answer_in_turn(self.stay_silent, self.answer_slowly)
+        coordinator = self.gateway._peers.get_own_record()
+        with (
+            mock.patch.object(client, "acquire", acquire),
+            mock.patch.object(client.coordinators, "find", lambda *_: coordinator),
+        ):
+            self.assertEqual(self.call("/safe/1")[0], 200)
+        self.assertEqual(len(asked), 1)
+
+
 class TwoGatewaysTest(GatewayTestCase):
     """Guards against messages that the processes do not pass on to each other."""
 
