Keep the permitted upstream whatever the reports tell

The deadline filter works with reports that are up to seconds old. It left out the upstream of a permit, or refused the request although a slot was free for it.

Two tests fail before this change. They, tests.gateway.test_ramps and tests.gateway.test_speeds pass.

--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -333,7 +333,7 @@
                 self._boot.imbalance_factor,
                 upstream_count,
             )
-            in_time = self._filter_by_deadline(placements, remaining_s)
+            in_time = self._filter_by_deadline(placements, remaining_s, permitted)
             in_time = self.ramps.defer(
                 in_time,
                 bound,
@@ -402,17 +402,25 @@
         ]
 
     def _filter_by_deadline(
-        self, placements: list[Placement], remaining_s: float
+        self,
+        placements: list[Placement],
+        remaining_s: float,
+        permitted: UpstreamId | None,
     ) -> list[Placement]:
         """Return the placements whose response is expected to begin in time.
 
+        The permitted upstream is among them in any case, as its coordinator knows what
+        runs there, and reports are up to some seconds old.
+
         Raises
         ------
         Overloaded
             If there is none.
         """
         remaining_ms = remaining_s * 1000
-        if in_time := select_in_time(placements, remaining_ms, 0.0):
+        named = [p for p in placements if p.candidate.upstream.id == permitted]
+        others = [p for p in placements if p.candidate.upstream.id != permitted]
+        if in_time := named + select_in_time(others, remaining_ms, 0.0):
             return in_time
         decision = decide_admission(placements, remaining_ms, 0.0)
         raise Overloaded(
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -16,20 +16,25 @@
 )
 from fescueflow.gateway import Gateway
 from fescueflow.gateway.coordinators import UNANSWERED_PAUSE_MAX_S
+from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.permit_codec import PERMIT_MARK, decode_permit
 from fescueflow.gateway.permits import ANSWER_TIMEOUT_S, QUEUE_CHECK_S, Permit
 from fescueflow.gateway.relay import decode_update
-from fescueflow.routing import CallerDisconnected, PermitEnd
+from fescueflow.routing import CallerDisconnected, PermitEnd, Prompt
 from tests.gateway.builders import make_boot
 from tests.gateway.gateway_case import GatewayTestCase
 from tests.gateway.permit_fleet import ONE_WAY_S, SLOTS, PermitFleet
 from tests.gateway.test_replacements import ReplacementCase
-from tests.routing.builders import BOOKINGS
+from tests.gateway.test_speeds import REFUSAL, SpeedCase
+from tests.routing.builders import BOOKINGS, ENGINES
 from tests.standins.fleet import find_free_port
 
 # An unanswered request waits for the time-out and the usual delay, at most this long.
 UNANSWERED_MAX_S = ANSWER_TIMEOUT_S + 0.05
 
+# A prompt that takes some milliseconds to read.
+LONG_PROMPT = Prompt("key", 20_000, 1_000, 400)
+
 
 def read_kind(data):
     return json.loads(data[1:])["kind"]
@@ -480,6 +485,29 @@
         self.assertEqual(len(asked), 1)
 
 
+class PermittedUpstreamTest(SpeedCase):
+    """Guards against a permitted upstream that is left out by an old report."""
+
+    def select(self, remaining_s, permitted):
+        return self.instance.selector.select(
+            ENGINES, LONG_PROMPT, set(), remaining_s, permitted=permitted
+        ).upstream.id
+
+    def test_report_of_a_long_queue(self):
+        attempt = self.open_attempt(503, "16,400,16", REFUSAL)
+        with self.assertRaises(ExchangeFailed):
+            attempt.read_head(0.0, "a1")
+        attempt.selection.active_request.end()
+        upstream = attempt.selection.upstream.id
+        self.assertNotEqual(self.select(1.0, None), upstream)
+        self.assertEqual(self.select(1.0, upstream), upstream)
+
+    def test_no_upstream_in_time(self):
+        with self.assertRaises(Overloaded):
+            self.select(0.01, None)
+        self.assertEqual(self.select(0.01, "u1"), "u1")
+
+
 class TwoGatewaysTest(GatewayTestCase):
     """Guards against messages that the processes do not pass on to each other."""
 
