Keep the places of requests that may run on

Cancelled and silent requests freed their place at once although the upstream may still run them, and three silences excluded an upstream like three crashes. The place now counts as taken for one mean duration, and the new end silent does not touch the health. Answers with a status from 500 on give no duration and no success, and an upstream's duration counts as 0.5 to 4 means, so that one that fails fast does not attract everything.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -60,6 +60,11 @@
 # Least time between two looks at the connections of upstreams that have just answered:
 # that between reports on a crash.
 SURVIVOR_CHECK_INTERVAL_S = HURRIED_INTERVAL_S
+# How failures end a permit; others may be those of the upstream.
+FAILURE_ENDS = {
+    AttemptFailure.REFUSED: PermitEnd.FULL,
+    AttemptFailure.TIMED_OUT: PermitEnd.SILENT,
+}
 
 log = logbook.Logger("attempts")
 
@@ -193,13 +198,13 @@
 
     def finish(self) -> None:
         """End after a complete response; the connection is reused if possible."""
-        if self._end(PermitEnd.ANSWERED):
+        is_error = self.exchange.status >= SERVER_ERROR_MIN
+        if self._end(PermitEnd.UNUSED if is_error else PermitEnd.ANSWERED):
             self._client.record_response(self, self._connection)
 
     def fail(self, failure: ExchangeFailed) -> None:
         """End after a failure; closes the connection."""
-        is_full = failure.kind is AttemptFailure.REFUSED
-        if self._end(PermitEnd.FULL if is_full else PermitEnd.FAILED):
+        if self._end(FAILURE_ENDS.get(failure.kind, PermitEnd.FAILED)):
             self._connection.close()
             self._client.record_failure(self, failure)
             if failure.kind.may_have_run:
--- a/src/fescueflow/routing/permit_durations.py
+++ b/src/fescueflow/routing/permit_durations.py
@@ -16,6 +16,9 @@
 # Time constant with which the service's mean falls to the default without samples, in
 # seconds: some deadlines, as a long mean refuses the requests that would correct it.
 MEAN_MEMORY_S = 10.0
+# Bounds of an upstream's duration, in means of the service: one that answers at once
+# without doing the work must not attract all requests.
+FACTOR_MIN, FACTOR_MAX = 0.5, 4.0
 
 
 class PermitDurations:
@@ -39,7 +42,8 @@
         mean_s = self.get_mean(now)
         known_s, measured_at = self._durations_s.get(upstream, (mean_s, now))
         kept = math.exp(-max(0.0, now - measured_at) / DURATION_MEMORY_S)
-        return mean_s + kept * (known_s - mean_s)
+        estimate_s = mean_s + kept * (known_s - mean_s)
+        return min(FACTOR_MAX * mean_s, max(FACTOR_MIN * mean_s, estimate_s))
 
     def record(self, upstream: UpstreamId, duration_s: float, now: float) -> None:
         """Record the duration of a request that was answered, in seconds."""
--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -51,10 +51,18 @@
     UNREACHABLE = "unreachable"
     # The caller left, or its deadline passed.
     CANCELLED = "cancelled"
-    # Nothing was sent, or the request has left the queue.
+    # The upstream was silent; it may still run the request.
+    SILENT = "silent"
+    # Nothing was sent, the request has left the queue, or its answer was a server
+    # error, which tells neither the upstream's speed nor its health.
     UNUSED = "unused"
 
 
+# Ends after which the place counts as taken for one mean duration: the upstream was
+# full, or may still run the request.
+BLOCKING_ENDS = {PermitEnd.FULL, PermitEnd.CANCELLED, PermitEnd.SILENT}
+
+
 @dataclass(frozen=True, slots=True)
 class PermitAnswer:
     """Answer to an instance.
@@ -95,8 +103,8 @@
         self._return_slots = ReturnSlots()
         self._durations = PermitDurations()
         # Until when an upstream counts as fuller than its permits tell, for each of its
-        # refusals.
-        self._full_until: dict[UpstreamId, list[float]] = {}
+        # refusals, and each request that may run on.
+        self._blocked_until: dict[UpstreamId, list[float]] = {}
         # Failures that other instances saw, as the coordinator sends little itself.
         self._health = UpstreamHealth()
 
@@ -203,10 +211,9 @@
     def _record_end(
         self, upstream: UpstreamId, end: PermitEnd, duration_s: float, now: float
     ) -> None:
-        if end is PermitEnd.FULL:
-            self._full_until.setdefault(upstream, []).append(
-                now + self._durations.get_mean(now)
-            )
+        if end in BLOCKING_ENDS:
+            until = now + self._durations.get_mean(now)
+            self._blocked_until.setdefault(upstream, []).append(until)
         elif end is PermitEnd.ANSWERED:
             self._health.record_success(upstream)
             self._durations.record(upstream, duration_s, now)
@@ -241,11 +248,11 @@
         return healthy or list(self._slots)
 
     def _count_free(self, upstream: UpstreamId, now: float) -> int:
-        penalties = [t for t in self._full_until.get(upstream, ()) if t > now]
+        penalties = [t for t in self._blocked_until.get(upstream, ()) if t > now]
         if penalties:
-            self._full_until[upstream] = penalties
+            self._blocked_until[upstream] = penalties
         else:
-            self._full_until.pop(upstream, None)
+            self._blocked_until.pop(upstream, None)
         granted = self._in_use[upstream] + len(penalties)
         return self._slots[upstream] + WAITING_AT_UPSTREAM - granted
 
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -3,6 +3,7 @@
 import json
 import time
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from hypothesis import given, settings
@@ -20,7 +21,7 @@
 from fescueflow.gateway.permit_codec import PERMIT_MARK, decode_permit
 from fescueflow.gateway.permits import ANSWER_TIMEOUT_S, QUEUE_CHECK_S, Permit
 from fescueflow.gateway.relay import decode_update
-from fescueflow.routing import CallerDisconnected, PermitEnd, Prompt
+from fescueflow.routing import AttemptFailure, CallerDisconnected, PermitEnd, Prompt
 from tests.gateway.builders import make_boot
 from tests.gateway.gateway_case import GatewayTestCase
 from tests.gateway.permit_fleet import ONE_WAY_S, SLOTS, PermitFleet
@@ -431,6 +432,22 @@
                 self.call(target)
                 self.check_returned()
 
+    def list_ends(self, target):
+        """Return how permits of a request end."""
+        ends = []
+        end = Permit.end
+        with mock.patch.object(
+            Permit, "end", lambda permit, how: (ends.append(how), end(permit, how))
+        ):
+            self.call(target)
+            self.wait_for(lambda: ends)
+        return ends
+
+    def test_server_errors_are_no_successes(self):
+        for status, end in ((200, PermitEnd.ANSWERED), (500, PermitEnd.UNUSED)):
+            self.set_script(*[lambda h, s=status: h.send_sealed(s)] * 2)
+            self.assertEqual(self.list_ends("/once/1"), [end])
+
     def test_upstreams_that_are_not_handed_out(self):
         list_available = self.gateway._selector.list_available
         for header, until in (("Server-Limit", "5"), ("Server-Leaving", "1")):
@@ -485,6 +502,22 @@
         self.assertEqual(len(asked), 1)
 
 
+class AttemptEndTest(SpeedCase):
+    """Guards against silences that count as crashes at the coordinator."""
+
+    def test_silence(self):
+        for kind, end in (
+            (AttemptFailure.TIMED_OUT, PermitEnd.SILENT),
+            (AttemptFailure.BROKEN, PermitEnd.FAILED),
+            (AttemptFailure.REFUSED, PermitEnd.FULL),
+        ):
+            attempt = self.open_attempt(200, None)
+            permit = mock.Mock()
+            attempt.selection = replace(attempt.selection, permit=permit)
+            attempt.fail(ExchangeFailed(kind, "test"))
+            permit.end.assert_called_once_with(end)
+
+
 class PermittedUpstreamTest(SpeedCase):
     """Guards against a permitted upstream that is left out by an old report."""
 
