--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -5,6 +5,7 @@
 have free slots, and requests that are late already run before those in time.
 """
 
+import math
 from collections import Counter, OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -14,12 +15,10 @@
 from fescueflow.routing.health import UpstreamHealth
 from fescueflow.routing.model import ServiceId
 from fescueflow.routing.permit_durations import PermitDurations
+from fescueflow.routing.permit_places import ExtraPlaces
 from fescueflow.routing.permit_queue import PermitId, PermitQueue, PermitRequest
 from fescueflow.routing.return_slots import ReturnSlots, TokenSupply
 
-# Requests beyond its slots that an upstream gets: one waits there, so that no slot is
-# idle during the round trip of a return and the next grant.
-WAITING_AT_UPSTREAM = 1
 # Life of a permit that is not returned, in mean durations and at least in seconds.
 LIFE_DURATIONS = 4.0
 LIFE_MIN_S = 1.0
@@ -102,6 +101,7 @@
         self._queue = PermitQueue()
         self._return_slots = ReturnSlots()
         self._durations = PermitDurations()
+        self._extra_places = ExtraPlaces()
         # Until when an upstream counts as fuller than its permits tell, for each of its
         # refusals, and each request that may run on.
         self._blocked_until: dict[UpstreamId, list[float]] = {}
@@ -214,6 +214,10 @@
         if end in BLOCKING_ENDS:
             until = now + self._durations.get_mean(now)
             self._blocked_until.setdefault(upstream, []).append(until)
+        # The permit that ended is no longer counted.
+        has_extra = self._in_use[upstream] >= self._slots.get(upstream, math.inf)
+        if end is PermitEnd.FULL and has_extra:
+            self._extra_places.withdraw(upstream, now)
         elif end is PermitEnd.ANSWERED:
             self._health.record_success(upstream)
             self._durations.record(upstream, duration_s, now)
@@ -254,7 +258,7 @@
         else:
             self._blocked_until.pop(upstream, None)
         granted = self._in_use[upstream] + len(penalties)
-        return self._slots[upstream] + WAITING_AT_UPSTREAM - granted
+        return self._slots[upstream] + self._extra_places.count(upstream, now) - granted
 
     def _estimate_cost(self, upstream: UpstreamId, now: float) -> float:
         """Return the duration of one more request by the load of the slots."""
