Hand out half of the places at a new coordinator

A new coordinator handed out all slots at once although permits of the one before were in use. For its first mean duration, at least 0.2 s, it hands out half of the places. An instance coordinates only after 3 s by the number of its reports if another one has served for that long, so that rolling restarts move the coordinator less often.

--- a/src/fescueflow/gateway/coordinators.py
+++ b/src/fescueflow/gateway/coordinators.py
@@ -7,7 +7,7 @@
 
 from fescueflow.core import InstanceId
 from fescueflow.gateway.active_set import ACTIVE_MIN, order_instances
-from fescueflow.gateway.peers import PeerTable
+from fescueflow.gateway.peers import REPORT_INTERVAL_S, PeerTable
 from fescueflow.gateway.records import PeerRecord
 from fescueflow.routing import (
     CoordinatorCandidate,
@@ -24,6 +24,9 @@
 # The longest pause of any instance, in seconds. Pauses are spread by instance, so that
 # the instances do not all ask again at the same moment.
 UNANSWERED_PAUSE_MAX_S = 1.3
+# Time for which an instance has served before it coordinates, in seconds, so that a
+# rolling restart moves the coordinator less often.
+SERVED_MIN_S = 3.0
 # Time for which the coordinator of a service is used again, in seconds; instances hear
 # of a change much later.
 COORDINATOR_CACHE_S = 0.2
@@ -107,6 +110,8 @@
 ) -> list[PeerRecord]:
     """Return the instances that may coordinate: the first active ones of each zone.
 
+    Those that have just started are left out unless all have.
+
     Notes
     -----
     These are active whatever the demand is, so that the coordinator does not change
@@ -117,11 +122,14 @@
     for record in carrying:
         if record.instance in names:
             zones.setdefault(record.zone, []).append(record)
-    return [
+    candidates = [
         record
         for records in zones.values()
         for record in order_instances(records)[:ACTIVE_MIN]
     ]
+    # Each start of an instance numbers its reports from 1.
+    settled = [r for r in candidates if r.sequence * REPORT_INTERVAL_S >= SERVED_MIN_S]
+    return settled or candidates
 
 
 __all__ = ["Coordinators"]
--- a/src/fescueflow/gateway/permit_desk.py
+++ b/src/fescueflow/gateway/permit_desk.py
@@ -105,7 +105,8 @@
     def _open_pool(self, service: ServiceId, now: float) -> PermitPool:
         for old in [s for s, t in self._used_at.items() if now - t > POOL_MEMORY_S]:
             self._forget(old)
-        self._pools.setdefault(service, PermitPool())
+        if service not in self._pools:
+            self._pools[service] = PermitPool(started_at=now)
         self._used_at[service] = now
         self._refresh(service, now)
         return self._pools[service]
--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -22,6 +22,10 @@
 # Life of a permit that is not returned, in mean durations and at least in seconds.
 LIFE_DURATIONS = 4.0
 LIFE_MIN_S = 1.0
+# Share of the places that a new coordinator hands out for its first mean duration, and
+# the least such time in seconds: permits of the coordinator before may still be in use.
+START_SHARE = 0.5
+START_MIN_S = 0.2
 # Longest queue: what 18 slots of 90 ms work off in about 2.5 s.
 QUEUE_MAX = 512
 # Time for which ended permits are remembered, so that a late or doubled datagram does
@@ -89,9 +93,16 @@
 
 
 class PermitPool:
-    """Permits of one service at its coordinator; not thread-safe."""
+    """Permits of one service at its coordinator; not thread-safe.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    started_at : float
+        When this instance became the coordinator.
+    """
+
+    def __init__(self, started_at: float = -math.inf) -> None:
+        self._started_at = started_at
         self._slots: Mapping[UpstreamId, int] = {}
         # Whether upstreams may have gone since the queue was searched for them.
         self._have_changed = False
@@ -258,7 +269,11 @@
         else:
             self._blocked_until.pop(upstream, None)
         granted = self._in_use[upstream] + len(penalties)
-        return self._slots[upstream] + self._extra_places.count(upstream, now) - granted
+        places = self._slots[upstream] + self._extra_places.count(upstream, now)
+        start_s = max(START_MIN_S, self._durations.get_mean(now))
+        if now - self._started_at < start_s:
+            places = math.ceil(places * START_SHARE)
+        return places - granted
 
     def _estimate_cost(self, upstream: UpstreamId, now: float) -> float:
         """Return the duration of one more request by the load of the slots."""
--- a/tests/gateway/permit_fleet.py
+++ b/tests/gateway/permit_fleet.py
@@ -149,6 +149,9 @@
         """Use all permits of one upstream; return them."""
         results = [self.ask(instance) for _ in range(count)]
         self.time.run(0.01)
+        if not all(results):
+            # A new coordinator hands out half of the places at first.
+            self.time.run(0.25)
         return [result[0] for result in results]
 
     def end_all(self, permits, end=PermitEnd.ANSWERED):
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -379,6 +379,17 @@
         answers = pool.end(PermitId("old1"), PermitEnd.ANSWERED, 0.1, 0.1)
         self.assertEqual(list_granted(answers), ["r"])
 
+    def test_new_coordinator_hands_out_half(self):
+        # Permits of the coordinator before may be in use that nobody has named yet.
+        pool = PermitPool(started_at=10.0)
+        pool.set_upstreams({ONE: 5})
+        answers = [
+            pool.ask(make_request(f"r{n}", 13.0, 11.0), 10.0)[0] for n in range(7)
+        ]
+        self.assertEqual(len(list_granted(answers)), 3)
+        self.assertEqual(list_granted(pool.advance(10.19)), [])
+        self.assertEqual(len(list_granted(pool.advance(10.21))), 3)
+
     def test_upstream_that_leaves_while_requests_wait(self):
         pool = make_pool(upstreams=UPSTREAMS[:2])
         fill_pool(pool, count=4)
