Tell hopeless requests the expected wait

A queued request that became hopeless was told to come back after one turn, although the queue was longer. Its return slot now begins after the wait that a new request of its class would have.

One test fails before this change. tests.routing.test_permits passes.

--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -208,7 +208,8 @@
         answers = [*self._release_stranded(), *self._grant(now)]
         hopeless = self._queue.pop_hopeless(self._durations.get_mean(now), now)
         return answers + [
-            self._refuse(request, self._compute_turn(now), now) for request in hopeless
+            self._refuse(request, self._estimate_wait(request, now), now)
+            for request in hopeless
         ]
 
     def _release_stranded(self) -> list[PermitAnswer]:
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -311,6 +311,19 @@
         answer = pool.advance(0.41)[0]
         self.assertEqual((answer.id, answer.decision), ("r", REFUSED))
 
+    def test_return_slot_of_a_queued_request(self):
+        # One turn is too short: those that wait longer come first.
+        pool = make_pool()
+        fill_pool(pool)
+        pool.ask(make_request("r", deadline_at=0.9), 0.0)
+        for number in range(9):
+            pool.ask(make_request(f"n{number}", objective_at=0.2), 0.6)
+        for number in range(2):
+            pool.learn(PermitId(f"l{number}"), InstanceId("i2"), ONE, 0.0, 0.6)
+        answer = pool.advance(0.81)[0]
+        self.assertEqual((answer.id, answer.decision), ("r", REFUSED))
+        self.assertGreater(answer.retry_after_s, 0.8)
+
     def learn_long_durations(self, pool, count=60):
         for number in range(count):
             answer = pool.ask(make_request(f"long{number}"), 0.0)[-1]
