Take the duration of permits that have expired

If requests take longer than permits last, no duration was recorded, and the mean stayed short. The first return of an expired permit now gives its duration as a sample.

One test fails before this change. tests.routing.test_permits passes.

--- a/src/fescueflow/routing/permits.py
+++ b/src/fescueflow/routing/permits.py
@@ -109,6 +109,8 @@
         self._uses: dict[PermitId, PermitUse] = {}
         self._in_use: Counter[UpstreamId] = Counter()
         self._ended: OrderedDict[PermitId, float] = OrderedDict()
+        # Upstreams of permits that expired and have not been returned.
+        self._expired: dict[PermitId, UpstreamId] = {}
         self._queue = PermitQueue()
         self._return_slots = ReturnSlots()
         self._durations = PermitDurations()
@@ -133,6 +135,10 @@
         """Return the number of permits in use of an upstream."""
         return self._in_use[upstream]
 
+    def get_mean_duration(self, now: float) -> float:
+        """Return the mean duration of the service's requests, in seconds."""
+        return self._durations.get_mean(now)
+
     def learn(
         self,
         permit: PermitId,
@@ -197,14 +203,15 @@
         use = self._forget(permit, now)
         if use is not None:
             self._record_end(use.upstream, end, duration_s, now)
+        upstream = self._expired.pop(permit, None)
+        if upstream is not None and end is PermitEnd.ANSWERED:
+            # Without it, the mean would not follow when requests outlast permits.
+            self._durations.record(upstream, duration_s, now)
         return self.advance(now)
 
     def advance(self, now: float) -> list[PermitAnswer]:
         """Return the answers that are due without a message: refusals and grants."""
-        for permit in [p for p, u in self._uses.items() if u.expires_at <= now]:
-            self._forget(permit, now)
-        while self._ended and now - next(iter(self._ended.values())) > ENDED_MEMORY_S:
-            self._ended.popitem(last=False)
+        self._drop_old(now)
         answers = [*self._release_stranded(), *self._grant(now)]
         hopeless = self._queue.pop_hopeless(self._durations.get_mean(now), now)
         return answers + [
@@ -212,6 +219,16 @@
             for request in hopeless
         ]
 
+    def _drop_old(self, now: float) -> None:
+        """End the permits that have expired, and forget those that ended long ago."""
+        for permit, use in list(self._uses.items()):
+            if use.expires_at <= now:
+                self._forget(permit, now)
+                self._expired[permit] = use.upstream
+        while self._ended and now - next(iter(self._ended.values())) > ENDED_MEMORY_S:
+            permit, _ = self._ended.popitem(last=False)
+            self._expired.pop(permit, None)
+
     def _release_stranded(self) -> list[PermitAnswer]:
         """Answer the queued requests for which no upstream is left."""
         if not self._have_changed:
--- a/tests/routing/test_permits.py
+++ b/tests/routing/test_permits.py
@@ -361,6 +361,16 @@
         self.assertEqual(pool.advance(0.99), [])
         self.assertEqual(list_granted(pool.advance(1.01)), ["r"])
 
+    def test_duration_of_an_expired_permit(self):
+        # Otherwise the mean stays short when all requests outlast their permits.
+        pool = make_pool()
+        first, _ = fill_pool(pool)
+        pool.ask(make_request("r", 9.0), 1.5)
+        for _ in range(2):
+            pool.end(first.id, PermitEnd.ANSWERED, 2.1, 2.1)
+        # The default and one sample of a weight of 0.05.
+        self.assertAlmostEqual(pool.get_mean_duration(2.1), 0.2)
+
     def test_doubled_request(self):
         pool = make_pool(slots=6)
         answers = [pool.ask(make_request(), 0.0)[0] for _ in range(2)]
