--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -51,6 +51,8 @@
 # Lowest status that says nothing of how fast the upstream responds: an error is quick
 # also where the upstream would be slow.
 ERROR_STATUS_MIN = 400
+# Lowest status that reports a failure of the upstream rather than of the request.
+SERVER_ERROR_MIN = 500
 # Limit for a connection that shows whether an upstream still runs; the longest round
 # trip between availability zones takes a tenth.
 CRASH_CHECK_TIMEOUT_S = 0.1
@@ -581,4 +583,4 @@
     return "low" if reported_running > expected else "high"
 
 
-__all__ = ["Attempt", "AttemptClient"]
+__all__ = ["SERVER_ERROR_MIN", "Attempt", "AttemptClient"]
--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -13,7 +13,7 @@
 import logbook
 
 from fescueflow.core import Clock, DeadlineExceeded, PromptQuarantined, RequestError
-from fescueflow.gateway.attempts import Attempt, AttemptClient
+from fescueflow.gateway.attempts import SERVER_ERROR_MIN, Attempt, AttemptClient
 from fescueflow.gateway.errors import make_error
 from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed, OtherResponded
 from fescueflow.gateway.platform_state import PlatformState
@@ -46,8 +46,6 @@
 )
 
 CONTENT_TYPE = "Content-Type"
-# Lowest status that reports a failure of the upstream rather than of the request.
-SERVER_ERROR_MIN = 500
 SILENCE = ExchangeFailed(AttemptFailure.TIMED_OUT, "no byte in time")
 
 log = logbook.Logger("dispatch")
