--- a/src/fescueflow/gateway/ramps.py
+++ b/src/fescueflow/gateway/ramps.py
@@ -98,7 +98,7 @@
         duration_s: float,
         now: float,
     ) -> list[Placement]:
-        """Return the placements, those whose allowance is used up after alternatives.
+        """Return the placements, those whose window is used up after alternatives.
 
         Parameters
         ----------
@@ -304,7 +304,7 @@
                 "upstream": str(upstream),
                 "service": str(ramp.service),
                 "cause": ramp.cause.value,
-                "allowance": round(ramp.allowance, 3),
+                "window": round(ramp.window, 3),
                 "share": round(ramp.share, 3),
                 "ramp_ms": round((now - ramp.began_at) * 1000),
                 **inputs,
--- a/src/fescueflow/routing/ramp.py
+++ b/src/fescueflow/routing/ramp.py
@@ -17,11 +17,11 @@
 # doublings reach all of them, and a prompt that is read in full at once by as many
 # requests still leaves room for a retry elsewhere.
 FIRST_FRACTION = 0.25
-# Least allowance after an exclusion or a pause, as a fraction of the upstream's share:
+# Least window after an exclusion or a pause, as a fraction of the upstream's share:
 # often this instance alone has seen the reason and the others go on, so that the
 # upstream has a part of its load already.
 RESUMED_FRACTION = 0.25
-# Lowest allowance, as a fraction of the first one: cuts of an upstream that refuses for
+# Lowest window, as a fraction of the first one: cuts of an upstream that refuses for
 # seconds must not make its next request a matter of minutes.
 FLOOR_FRACTION = 1 / 16
 # A response is slow if its first event takes this many times the usual time, and more
@@ -32,7 +32,7 @@
 # requests has heard from the reports of others how much the upstream takes, and one
 # with many has seen whether it stays slow; placement then accounts for its speed.
 RAMP_MAX_S = 30.0
-# Bounds of the time for which a fractional allowance is drawn, in seconds. Requests
+# Bounds of the time for which a fractional window is drawn, in seconds. Requests
 # should last no longer than it, or those of several draws would add up.
 DRAW_MIN_S = 0.125
 DRAW_MAX_S = 8.0
@@ -60,7 +60,7 @@
 class Ramp:
     """State of one ramp.
 
-    ``allowance`` is the number of requests of this instance that may be open, ``first``
+    ``window`` is the number of requests of this instance that may be open, ``first``
     the one at the begin, and ``share`` the open requests of this instance if all
     upstreams of the service had equally many. ``cut_at`` is the time of the begin or of
     the last cut. ``is_troubled`` tells that an attempt has failed since the begin, or
@@ -70,7 +70,7 @@
     service: ServiceId
     cause: RampCause
     first: float
-    allowance: float
+    window: float
     began_at: float
     cut_at: float
     share: float = 0.0
@@ -78,7 +78,7 @@
 
 
 class UpstreamRamps:
-    """Allowances of this instance at upstreams in their ramp; not thread-safe.
+    """Windows of this instance at upstreams in their ramp; not thread-safe.
 
     Parameters
     ----------
@@ -125,14 +125,14 @@
         -----
         What an upstream has taken while it was cold, it takes afterwards, too.
         """
-        first = allowance = max(1.0, FIRST_FRACTION * slots) / max(1, instances)
+        first = window = max(1.0, FIRST_FRACTION * slots) / max(1, instances)
         if cause is RampCause.COLD:
             current = self._ramps.get(upstream)
-            reached = current.allowance if current is not None else 0.0
-            allowance = max(first, float(own_running), reached)
+            reached = current.window if current is not None else 0.0
+            window = max(first, float(own_running), reached)
         elif cause is not RampCause.START:
-            allowance = max(first, RESUMED_FRACTION * share)
-        ramp = Ramp(service, cause, first, allowance, now, now, share)
+            window = max(first, RESUMED_FRACTION * share)
+        ramp = Ramp(service, cause, first, window, now, now, share)
         self._ramps[upstream] = ramp
         return ramp
 
@@ -187,40 +187,40 @@
 
         Notes
         -----
-        Whether the fractional part of the allowance counts is drawn for some time. An
+        Whether the fractional part of the window counts is drawn for some time. An
         instance that has an open request for a part of the time only uses its draw for
         this part; the chance is higher by as much.
         """
         ramp = self._ramps.get(upstream)
         if ramp is None:
             return True
-        whole = int(ramp.allowance)
+        whole = int(ramp.window)
         if own_running != whole:
             return own_running < whole
-        chance = ramp.allowance - whole
+        chance = ramp.window - whole
         if not whole:
             chance /= min(1.0, max(chance, demand))
         slot = int(now / compute_draw_s(duration_s))
         return score_candidate(self._name, f"{upstream} {slot}") < chance * 2**64
 
     def record_good(self, upstream: UpstreamId, sent_at: float) -> bool:
-        """Raise the allowance after a good response; return whether the ramp is over.
+        """Raise the window after a good response; return whether the ramp is over.
 
         Notes
         -----
-        One request more for each good response doubles the allowance in a round. An
-        instance whose allowance is below 1 has the response of a draw; it may keep one
+        One request more for each good response doubles the window in a round. An
+        instance whose window is below 1 has the response of a draw; it may keep one
         request open from then on. While the others draw on, the sum over the fleet
         doubles, too.
         """
         ramp = self._ramps.get(upstream)
         if ramp is None or sent_at < ramp.cut_at:
             return False
-        ramp.allowance = max(1.0, ramp.allowance + min(1.0, ramp.allowance))
-        return ramp.allowance > max(1.0, ramp.share)
+        ramp.window = max(1.0, ramp.window + min(1.0, ramp.window))
+        return ramp.window > max(1.0, ramp.share)
 
     def record_bad(self, upstream: UpstreamId, sent_at: float, now: float) -> bool:
-        """Halve the allowance; return whether it was changed.
+        """Halve the window; return whether it was changed.
 
         Notes
         -----
@@ -229,20 +229,20 @@
         ramp = self._ramps.get(upstream)
         if ramp is None or sent_at < ramp.cut_at:
             return False
-        ramp.allowance = max(FLOOR_FRACTION * ramp.first, ramp.allowance / 2)
+        ramp.window = max(FLOOR_FRACTION * ramp.first, ramp.window / 2)
         ramp.cut_at = now
         return True
 
     def record_slow(self, upstream: UpstreamId, sent_at: float, now: float) -> bool:
-        """Halve the allowance after a slow response; return whether it was changed.
+        """Halve the window after a slow response; return whether it was changed.
 
         Notes
         -----
-        An upstream that is still slow at the lowest allowance is not slow because of
+        An upstream that is still slow at the lowest window is not slow because of
         this instance's requests. A further cut would only discard good responses.
         """
         ramp = self._ramps.get(upstream)
-        if ramp is None or ramp.allowance <= FLOOR_FRACTION * ramp.first:
+        if ramp is None or ramp.window <= FLOOR_FRACTION * ramp.first:
             return False
         return self.record_bad(upstream, sent_at, now)
 
--- a/tests/gateway/test_ramps.py
+++ b/tests/gateway/test_ramps.py
@@ -70,7 +70,7 @@
         self.select(12)
         self.assertEqual(self.list_events(), [])
 
-    def test_used_up_allowance_comes_after_the_others(self):
+    def test_used_up_window_comes_after_the_others(self):
         self.start(NAMES[0])
         found = [upstream.id for upstream in self.select(8)]
         self.assertEqual(found.count(NAMES[0]), 2)
@@ -104,7 +104,7 @@
         self.assertNotEqual(self.select(1)[0].id, holder.id)
 
     def test_full_upstream_is_no_alternative(self):
-        """A queue elsewhere takes longer than a request above the allowance."""
+        """A queue elsewhere takes longer than a request above the window."""
         for name in NAMES[1:]:
             self.put(name, OLD_MS, slots=1)
         self.start(NAMES[0])
@@ -146,9 +146,9 @@
         self.assertEqual(causes[5], ["exclusion", "pause", "cold"])
 
     def list_begins(self):
-        """Return cause, allowance and share of the ramps that have begun."""
+        """Return cause, window and share of the ramps that have begun."""
         extras = [r.extra for r in self.handler.records if r.message == "ramp"]
-        keys = ("cause", "allowance", "share")
+        keys = ("cause", "window", "share")
         return [tuple(e[k] for k in keys) for e in extras if e["event"] == "begin"]
 
     def test_end_of_the_cold_time_during_a_ramp(self):
@@ -184,10 +184,10 @@
         self.selector.record_failure(NAMES[0], is_down=True)
         self.clock.now += 10.0
         self.select()
-        [(cause, allowance, share)] = self.list_begins()
+        [(cause, window, share)] = self.list_begins()
         self.assertEqual(cause, "exclusion")
-        self.assertGreater(allowance, 2.5)
-        self.assertAlmostEqual(allowance, share / 4, 2)
+        self.assertGreater(window, 2.5)
+        self.assertAlmostEqual(window, share / 4, 2)
 
     def test_only_trouble_lets_a_later_cause_replace_a_ramp(self):
         self.selector.record_failure(NAMES[0], is_down=True)
--- a/tests/routing/test_ramp.py
+++ b/tests/routing/test_ramp.py
@@ -16,7 +16,7 @@
 class RampTest(unittest.TestCase):
     """Guards against upstreams that are flooded at their start, or left idle."""
 
-    def test_first_allowances_of_a_fleet(self):
+    def test_first_windows_of_a_fleet(self):
         """They add up to a quarter of the slots, whatever the number of instances."""
         for instances in SIZES:
             with self.subTest(instances=instances):
@@ -66,14 +66,14 @@
                 open_counts = list(fleet.run(36.0))
                 self.assertGreater(sum(open_counts[-50:]) / 50, 0.6 * 24)
 
-    def test_slow_responses_at_the_lowest_allowance(self):
+    def test_slow_responses_at_the_lowest_window(self):
         """They cut nothing more, so that a good response of that time counts."""
         ramps = UpstreamRamps("i1")
         ramp = ramps.begin(UPSTREAM, SERVICE, RampCause.START, 32, 1, 10.0)
         cuts = [ramps.record_slow(UPSTREAM, 11.0 + n, 11.0 + n) for n in range(6)]
-        self.assertEqual((cuts, ramp.allowance), ([True] * 4 + [False] * 2, 0.5))
+        self.assertEqual((cuts, ramp.window), ([True] * 4 + [False] * 2, 0.5))
         ramps.record_good(UPSTREAM, 15.0)
-        self.assertEqual(ramp.allowance, 1.0)
+        self.assertEqual(ramp.window, 1.0)
         self.assertTrue(ramps.record_bad(UPSTREAM, 20.0, 20.0))
         self.assertTrue(ramps.record_bad(UPSTREAM, 21.0, 21.0))
 
@@ -83,23 +83,23 @@
         self.assertTrue(ramps.record_bad(UPSTREAM, 10.1, 11.0))
         self.assertFalse(ramps.record_bad(UPSTREAM, 10.2, 11.1))
         self.assertFalse(ramps.record_good(UPSTREAM, 10.3))
-        self.assertEqual(ramp.allowance, 4.0)
+        self.assertEqual(ramp.window, 4.0)
         ramp.share = 6.0
         over = [ramps.record_good(UPSTREAM, 12.0) for _ in range(3)]
-        self.assertEqual((over, ramp.allowance), ([False, False, True], 7.0))
+        self.assertEqual((over, ramp.window), ([False, False, True], 7.0))
 
     @given(st.integers(1, 200), st.integers(1, 64), st.lists(st.booleans()))
-    def test_allowance_stays_within_bounds(self, instances, slots, responses):
+    def test_window_stays_within_bounds(self, instances, slots, responses):
         ramps = UpstreamRamps("i1")
         ramp = ramps.begin(UPSTREAM, SERVICE, RampCause.COLD, slots, instances, 0.0)
         for now, is_good in enumerate(responses, 1):
-            before = ramp.allowance
+            before = ramp.window
             if is_good:
                 ramps.record_good(UPSTREAM, now)
-                self.assertTrue(before < ramp.allowance <= max(1.0, 2 * before))
+                self.assertTrue(before < ramp.window <= max(1.0, 2 * before))
             else:
                 ramps.record_bad(UPSTREAM, now, now)
-                self.assertTrue(0 < ramp.allowance <= before)
+                self.assertTrue(0 < ramp.window <= before)
 
     def test_upstream_without_a_ramp(self):
         ramps = UpstreamRamps("i1")
