Let a deployment switch the speeds of upstreams off

Change: the feature speeds of FESCUEFLOW_FEATURES. Result: tests.gateway.test_speeds and tests.platform.test_features pass.

--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -78,7 +78,9 @@
         self.limits = UpstreamLimits(
             own=boot.instance, peers=peers, clock=clock, metrics=metrics
         )
-        self.speeds = UpstreamSpeeds(platform_state, metrics)
+        self.speeds = UpstreamSpeeds(
+            platform_state, metrics, Feature.SPEEDS in boot.features
+        )
         self.ramps = RampTracker(
             own=boot.instance,
             platform_state=platform_state,
--- a/src/fescueflow/gateway/speeds.py
+++ b/src/fescueflow/gateway/speeds.py
@@ -37,9 +37,17 @@
     ----------
     platform_state : PlatformState
     metrics : Metrics
+    is_enabled : bool, optional
+        Whether the speeds are in use; without them, all upstreams count as equal.
     """
 
-    def __init__(self, platform_state: PlatformState, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        platform_state: PlatformState,
+        metrics: Metrics,
+        is_enabled: bool = True,
+    ) -> None:
+        self._is_enabled = is_enabled
         self._platform_state = platform_state
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -67,6 +75,8 @@
             Time to a first event, and that at the usual speed; used if both are given.
         now : float
         """
+        if not self._is_enabled:
+            return
         if percent is not None:
             with self._lock:
                 self._table.record_percent(upstream, service, percent, now)
@@ -100,6 +110,8 @@
 
     def record_first_event(self, event: FirstEvent, now: float) -> None:
         """Store the time to the first event of a stream unless it tells nothing."""
+        if not self._is_enabled:
+            return
         reason = find_reason_to_leave_out(event, now)
         if reason is not None:
             self._metrics.count("upstream_speed_samples_left_out", why=reason.value)
@@ -122,7 +134,7 @@
     ) -> None:
         """Store the slowdowns of listed upstreams that another instance reports."""
         known = list(updates)
-        if not known:
+        if not known or not self._is_enabled:
             return
         services = {u.id: u.service for u in self._platform_state.list_all()}
         for update in known:
@@ -142,6 +154,8 @@
         self, upstreams: Sequence[UpstreamId], service: ServiceId, now: float
     ) -> dict[UpstreamId, Slowdown]:
         """Return the slowdown of upstreams of a service."""
+        if not self._is_enabled:
+            return dict.fromkeys(upstreams, Slowdown())
         with self._lock:
             return self._table.estimate(upstreams, service, now)
 
--- a/src/fescueflow/platform/features.py
+++ b/src/fescueflow/platform/features.py
@@ -13,6 +13,8 @@
 
     # Permits of a coordinator for services with few slots.
     PERMITS = "permits"
+    # Speeds of upstreams in the cost of placements.
+    SPEEDS = "speeds"
     # Step by step use of upstreams that start or recover.
     RAMPS = "ramps"
     # Copy sources that are named to presumed holders of a prefix.
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -6,11 +6,14 @@
 
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.exchange import ExchangeFailed
+from fescueflow.gateway.platform_state import PlatformState
 from fescueflow.gateway.report_codec import (
     compress_report,
     decode_report,
     decompress_report,
 )
+from fescueflow.gateway.speeds import UpstreamSpeeds
+from fescueflow.metrics import Metrics
 from fescueflow.platform import parse_upstream_load, parse_upstream_percent
 from fescueflow.routing import AttemptFailure, EngineTraits, Prompt, Service
 from tests.fakes import FakeClock
@@ -190,6 +193,18 @@
             self.assertEqual(metrics.get_count(name, why=why), 1)
 
 
+class SwitchedOffTest(unittest.TestCase):
+    """Guards against speeds that change placements where they are switched off."""
+
+    def test_nothing_is_learned(self):
+        speeds = UpstreamSpeeds(PlatformState(), Metrics(), is_enabled=False)
+        upstream = make_upstream("u0", slots=16)
+        self.assertEqual(speeds.record_load_header(upstream, "3,1,8,300", 0.0), 4)
+        speeds.record_sample(upstream.id, ENGINES, 300, 500.0, 50.0, 0.0)
+        self.assertEqual(speeds.get_slowdown(upstream.id, ENGINES, 0.0), 1.0)
+        self.assertEqual(speeds.take_updates(0.0), [])
+
+
 class ReportTest(SpeedCase):
     """Guards against instances that each learn alone, or from bad reports."""
 
