Note the start of an answer before it is buffered

The library's 100-continue closed a failed connection while it held the lock that the close takes: a caller that asked for it and reset its connection stopped the server's loop. It now leaves the close to the loop's next turn.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -26,6 +26,7 @@
 # reads slowly needs it to have the rest of its answer.
 LINGER_S = 2.0
 LINGER_READ_BYTES = 1 << 16
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSED = "the connection is closed"
 CUT_ANSWER = "the answer is not written whole"
 
@@ -200,6 +201,9 @@
     def write_soon(self, data: Any) -> int:
         """Send or buffer the data; return its size in bytes."""
         before = self.total_outbufs_len
+        if not before:
+            # The loop may sweep as soon as the data is buffered.
+            self.taken_at = time.monotonic()
         size = super().write_soon(data)
         if before and self.total_outbufs_len < before + size:
             self.taken_at = time.monotonic()
@@ -207,6 +211,31 @@
             self._hold_output()
         return size
 
+    def send_continue(self) -> None:
+        """Ask the caller to go on with its body.
+
+        Notes
+        -----
+        In place of the HTTP library's, which closes a connection that has failed:
+        its caller holds ``requests_lock``, which the close needs, too. The server's
+        loop finds the failure in its next turn.
+        """
+        request = self.request
+        if request is None:
+            return
+        request.expect_continue = False
+        with self.outbuf_lock:
+            if not self.total_outbufs_len:
+                self.taken_at = time.monotonic()
+            self.outbufs[-1].append(CONTINUE)
+            self.current_outbuf_count += len(CONTINUE)
+            self.total_outbufs_len += len(CONTINUE)
+            self.sent_continue = True
+            self._flush_exception(self._flush_some, do_close=False)
+        if self.total_outbufs_len != self._output_bytes:
+            self._hold_output()
+        request.completed = False
+
     def handle_write(self) -> None:
         """Send what waits for the caller."""
         before = self.total_outbufs_len
@@ -277,8 +306,6 @@
         with self.outbuf_lock:
             before, self._output_bytes = self._output_bytes, self.total_outbufs_len
             self.rules.memory.move(before, self._output_bytes)
-            if not before:
-                self.taken_at = time.monotonic()
 
     def note_answer(self, request: CallerParser) -> None:
         """Note that the whole answer to a request is written or buffered."""
--- a/tests/gateway/test_caller_refusals.py
+++ b/tests/gateway/test_caller_refusals.py
@@ -5,6 +5,7 @@
 import json
 import socket
 
+from fescueflow.gateway.channels import RESET_ON_CLOSE
 from fescueflow.gateway.requests import CallerRequest
 from tests.gateway.gateway_case import GatewayTestCase, make_table
 from tests.gateway.outside_callers import CHUNKED, HEAD, iterate_chunks, render_length
@@ -86,6 +87,15 @@
         self.assertEqual(self.call("/safe/1")[0], 200)
         self.wait_for(lambda: self.gateway._rules.memory.held_bytes == 0)
 
+    def test_reset_after_asking_for_continuation(self):
+        """Guards against a server's loop that waits for its own lock."""
+        for _ in range(100):
+            caller = connect(self.ports["callers"])
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            caller.sendall(HEAD + b"Expect: 100-continue\r\n" + render_length(1000))
+            caller.close()
+        self.assertEqual(self.call("/safe/1")[0], 200)
+
     def test_request_after_its_answer(self):
         """Guards against bodies that stay until the garbage collector runs."""
         gc.collect()
