Spare answers that are taken when memory is short

Whole requests and held answers above the limit can't be released, so that each relief cut all connections with pending output. Answers now give way after 5 s without progress; if not enough can be released, only what exceeds the limit by a sixteenth does, and requests are refused from the limit on. A body read behind a running answer is refused alone if it holds more.

test_caller_channels fails before.

--- a/src/fescueflow/gateway/caller_memory.py
+++ b/src/fescueflow/gateway/caller_memory.py
@@ -21,6 +21,9 @@
 # Part of a limit that is released beyond the excess, so that the holders are not
 # ranked again for each piece that arrives.
 MARGIN_FRACTION = 1 / 16
+# Part of a limit above which answers give way that their callers are taking, too: the
+# memory of the process would not suffice otherwise.
+CRITICAL_FRACTION = 1 / 4
 # Allocations above this size are returned to the system when they are released.
 RETURNED_BYTES = 1 << 17
 # Parameter of glibc's ``mallopt`` for that size.
@@ -29,10 +32,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Excess:
-    """Bytes to release; of each holder only those beyond ``kept_bytes`` count."""
+    """Bytes to release; of each holder only those beyond ``kept_bytes`` count.
+
+    ``urgent_bytes`` have to be released even if ``size`` can't be. If it is critical,
+    answers and requests that make progress give way as well.
+    """
 
     size: int
     kept_bytes: int
+    urgent_bytes: int = 0
+    is_critical: bool = False
 
 
 class CallerMemory:
@@ -48,6 +57,9 @@
         self._limit = int(memory_bytes * MEMORY_FRACTION)
         self._surplus_limit = int(memory_bytes * SURPLUS_FRACTION)
         self._exhausted_limit = int(self._limit * (1 + MARGIN_FRACTION))
+        self._critical_limit = int(self._limit * (1 + CRITICAL_FRACTION))
+        # Whether those who can give way hold less than has to be released.
+        self._is_stuck = False
         self._held = 0
         self._surplus = 0
         # Reentrant: a request that the garbage collector ends gives back its bytes.
@@ -65,8 +77,13 @@
 
     @property
     def is_exhausted(self) -> bool:
-        """Whether nobody could give way and no request is taken in any more."""
-        return self._held > self._exhausted_limit
+        """Whether not enough could be released and no request is taken in any more."""
+        limit = self._limit if self._is_stuck else self._exhausted_limit
+        return self._held > limit
+
+    def note_relief(self, is_enough: bool) -> None:
+        """Note whether those who can give way hold what has to be released."""
+        self._is_stuck = not is_enough
 
     def move(self, before: int, after: int) -> None:
         """Change what one request, answer or output holds, in bytes."""
@@ -83,9 +100,12 @@
         """Return what has to be released."""
         margin = int(self._limit * MARGIN_FRACTION)
         if self._held > self._limit:
-            return Excess(self._held - self._limit + margin, 0)
+            size = self._held - self._limit + margin
+            urgent = max(0, self._held - self._exhausted_limit)
+            return Excess(size, 0, urgent, self._held > self._critical_limit)
         if self._surplus > self._surplus_limit:
-            return Excess(self._surplus - self._surplus_limit + margin, SMALL_BYTES)
+            size = self._surplus - self._surplus_limit + margin
+            return Excess(size, SMALL_BYTES, max(0, size - 2 * margin))
         return Excess(0, 0)
 
 
@@ -101,4 +121,4 @@
         ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, RETURNED_BYTES)
 
 
-__all__ = ["CallerMemory", "return_large_allocations"]
+__all__ = ["SMALL_BYTES", "CallerMemory", "return_large_allocations"]
--- a/src/fescueflow/gateway/caller_watch.py
+++ b/src/fescueflow/gateway/caller_watch.py
@@ -8,8 +8,17 @@
 import logbook
 
 from fescueflow.core import Overloaded, RequestError, RequestTooSlow
+from fescueflow.gateway.caller_memory import SMALL_BYTES, Excess
 from fescueflow.gateway.caller_requests import RETRY_AFTER_MS, CallerRules
-from fescueflow.routing import CallerBound, choose_yielding, find_breach
+from fescueflow.routing import (
+    UNREAD_S,
+    CallerBound,
+    Hold,
+    choose_yielding,
+    find_breach,
+    list_large,
+    list_releasable,
+)
 
 # The loop turns once a second at least.
 SWEEP_INTERVAL_S = 0.5
@@ -24,9 +33,6 @@
 # Time without a byte after which a connection may be closed for others: TCP resends a
 # lost packet sooner.
 UNUSED_S = 1.0
-# Time without progress after which an answer may be cut if requests wait for threads or
-# callers for connections: TCP resends a packet that was lost twice sooner.
-UNREAD_S = 5.0
 # Answers that are cut at a time for that.
 UNREAD_CUT_MAX = 32
 
@@ -65,24 +71,49 @@
         self._free_connections(now)
 
     def relieve(self) -> None:
-        """Have callers give way until the memory suffices."""
+        """Have callers give way until the memory suffices.
+
+        Notes
+        -----
+        If they hold too little for that, the rest is held by requests that run. Then
+        only what has to go does, and requests are refused when they have been read.
+        """
         now = time.monotonic()
         if now < self._relief_at:
             return
         excess = self._rules.memory.get_excess()
         if not excess.size:
+            self._rules.memory.note_relief(True)
             return
-        holds = [
-            replace(hold, held_bytes=hold.held_bytes - excess.kept_bytes)
-            for channel in self._list_channels()
-            if (hold := channel.get_hold()).held_bytes > excess.kept_bytes
-        ]
-        for channel in choose_yielding(holds, excess.size, now):
+        holds, size = self._limit_relief(excess, self._list_holds(excess), now)
+        for channel in choose_yielding(holds, size, now):
             error = Overloaded("out of memory for requests", None, RETRY_AFTER_MS)
             self._end(channel, CallerBound.MEMORY, error)
         if self._rules.memory.is_over:
             self._relief_at = now + RELIEF_INTERVAL_S
 
+    def _list_holds(self, excess: Excess) -> list[Hold]:
+        return [
+            replace(hold, held_bytes=hold.held_bytes - excess.kept_bytes)
+            for channel in self._list_channels()
+            if (hold := channel.get_hold()).held_bytes > excess.kept_bytes
+        ]
+
+    def _limit_relief(
+        self, excess: Excess, holds: list[Hold], now: float
+    ) -> tuple[list[Hold], int]:
+        """Return who may give way, and the bytes that they have to release."""
+        releasable = list_releasable(holds, now)
+        is_enough = sum(hold.held_bytes for hold in releasable) >= excess.size
+        self._rules.memory.note_relief(is_enough)
+        if is_enough:
+            return releasable, excess.size
+        if excess.is_critical:
+            return holds, excess.urgent_bytes
+        if not excess.kept_bytes:
+            releasable = list_large(releasable, SMALL_BYTES, now)
+        return releasable, excess.urgent_bytes
+
     def _end_slow(self, now: float) -> None:
         limits = self._rules.get_limits()
         head_s = limits.head_s if limits else None
--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -267,11 +267,17 @@
     def get_hold(self) -> Hold:
         """Return what giving way would release."""
         request = self.request
-        size, since = self._output_bytes, self.taken_at
-        if request is not None:
-            size += request.held_bytes
-            since = request.progress_at
-        return Hold(self, size, since)
+        size = self._output_bytes
+        if request is None:
+            return Hold(self, size, self.taken_at, is_answer=True)
+        if self._is_request_larger():
+            return Hold(self, request.held_bytes, request.progress_at)
+        return Hold(self, size + request.held_bytes, self.taken_at, is_answer=True)
+
+    def _is_request_larger(self) -> bool:
+        """Return whether the request that is read holds more than the output."""
+        request = self.request
+        return request is not None and request.held_bytes > self._output_bytes
 
     def give_way(self, limit: CallerBound, error: RequestError) -> None:
         """Refuse the request that is read, or cut an answer that is not taken.
@@ -279,11 +285,13 @@
         Notes
         -----
         Runs in the server's loop. The refusal comes after the answers to earlier
-        requests. A connection whose output waits takes no further one.
+        requests. A connection whose output waits takes no further one, unless it is
+        the request read behind it that holds the memory.
         """
         size = self.get_hold().held_bytes
         self.rules.record(self.addr[0], limit, size)
-        if self.total_outbufs_len:
+        is_request = limit is CallerBound.MEMORY and self._is_request_larger()
+        if self.total_outbufs_len and not is_request:
             self.close_cause = Cause.NOT_WRITTEN
             self.reset_on_close()
             self._end()
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -14,11 +14,14 @@
 from fescueflow.routing.buckets import TokenBuckets
 from fescueflow.routing.caller_bounds import (
     PROGRESS_BYTES,
+    UNREAD_S,
     CallerBound,
     CallerProgress,
     Hold,
     choose_yielding,
     find_breach,
+    list_large,
+    list_releasable,
 )
 from fescueflow.routing.crashes import (
     Crash,
@@ -105,11 +108,14 @@
 
 __all__ = [
     "PROGRESS_BYTES",
+    "UNREAD_S",
     "CallerBound",
     "CallerProgress",
     "Hold",
     "choose_yielding",
     "find_breach",
+    "list_large",
+    "list_releasable",
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
     "PRIORITY_HIGHEST",
--- a/src/fescueflow/routing/caller_bounds.py
+++ b/src/fescueflow/routing/caller_bounds.py
@@ -13,6 +13,13 @@
 # Time within which a caller takes a byte of an answer that waits for it. TCP resends
 # lost packets within 12 s after five losses in a row.
 ANSWER_TIMEOUT_S = 30.0
+# Time without progress after which an answer may be cut if memory is short, requests
+# wait for threads or callers for connections: TCP resends a packet that was lost twice
+# sooner.
+UNREAD_S = 5.0
+# Time without progress after which a small request gives way even if that does not
+# release enough: it usually arrives in one piece.
+SMALL_STALLED_S = 1.0
 # Time for a head where the configuration names none.
 HEAD_TIMEOUT_S = 10.0
 # Added to the configuration's time: one resent packet.
@@ -54,6 +61,8 @@
     holder: Any
     held_bytes: int
     progress_at: float
+    # Whether it is an answer that waits for the caller.
+    is_answer: bool = False
 
 
 def find_breach(
@@ -72,6 +81,24 @@
     return None
 
 
+def list_releasable(holds: Iterable[Hold], now: float) -> list[Hold]:
+    """Return all but the answers that their callers may still be taking."""
+    return [
+        hold
+        for hold in holds
+        if not hold.is_answer or now - hold.progress_at > UNREAD_S
+    ]
+
+
+def list_large(holds: Iterable[Hold], small_bytes: int, now: float) -> list[Hold]:
+    """Return all but the small holds that have made progress lately."""
+    return [
+        hold
+        for hold in holds
+        if hold.held_bytes > small_bytes or now - hold.progress_at > SMALL_STALLED_S
+    ]
+
+
 def choose_yielding(holds: Iterable[Hold], excess_bytes: int, now: float) -> list[Any]:
     """Return who gives way until the excess is released, the first one first.
 
@@ -96,9 +123,12 @@
 
 __all__ = [
     "PROGRESS_BYTES",
+    "UNREAD_S",
     "CallerProgress",
     "Hold",
     "CallerBound",
     "choose_yielding",
     "find_breach",
+    "list_large",
+    "list_releasable",
 ]
--- a/tests/gateway/test_caller_channels.py
+++ b/tests/gateway/test_caller_channels.py
@@ -7,14 +7,17 @@
 
 from waitress.adjustments import Adjustments
 
+from fescueflow.core import Overloaded
 from fescueflow.gateway.caller_memory import CallerMemory
 from fescueflow.gateway.caller_requests import CallerRules
+from fescueflow.gateway.caller_watch import CallerWatch
 from fescueflow.gateway.channels import make_channel_class
 from fescueflow.gateway.unanswered import UnansweredRequests
 from fescueflow.metrics import Metrics
-from fescueflow.routing import CallerLimits
+from fescueflow.routing import CallerBound, CallerLimits, Hold
+from tests.gateway.outside_callers import HEAD, render_length
 
-ANSWER_BYTES = 1 << 23
+ANSWER_BYTES = 1 << 22
 
 
 def make_rules(memory_bytes=1e8):
@@ -58,6 +61,67 @@
         self.assertTrue(self.sweeps)
         self.assertLess(max(self.sweeps), 50.0)
 
+    def test_body_behind_an_answer_that_is_taken(self):
+        """Guards against a running answer that is reset for what is read behind it."""
+        self.channel.received(b"GET /a HTTP/1.1\r\n\r\n")
+        self.channel.write_soon(b"x" * ANSWER_BYTES)
+        size = self.channel.total_outbufs_len
+        head = HEAD + render_length(4 << 20)
+        self.channel.received(head + b"x" * (ANSWER_BYTES - 1000))
+        self.assertGreater(self.channel.get_hold().held_bytes, size)
+        self.channel.give_way(CallerBound.MEMORY, Overloaded("full", None, 1))
+        self.assertTrue(self.channel.connected)
+        self.assertEqual(self.channel.total_outbufs_len, size)
+        self.assertEqual(self.channel.get_hold().held_bytes, size)
+
+    def test_answer_that_is_not_taken(self):
+        self.channel.write_soon(b"x" * ANSWER_BYTES)
+        self.channel.give_way(CallerBound.MEMORY, Overloaded("full", None, 1))
+        self.assertFalse(self.channel.connected)
+        self.assertEqual(self.rules.memory.held_bytes, 0)
+
+
+class CallerWatchTest(unittest.TestCase):
+    """Guards against relief that cuts ordinary callers and releases too little."""
+
+    def setUp(self):
+        self.rules = make_rules(memory_bytes=8e6)
+        self.channels = {}
+        self.ended = []
+        listener = SimpleNamespace(active_channels=self.channels)
+        self.watch = CallerWatch(self.rules, [listener], 100)
+
+    def add(self, name, size, age_s, is_answer=False):
+        since = time.monotonic() - age_s
+        channel = SimpleNamespace(
+            get_hold=lambda: Hold(channel, size, since, is_answer),
+            give_way=lambda *_: self.ended.append(name),
+        )
+        self.channels[name] = channel
+        self.rules.memory.move(0, size)
+
+    def test_requests_that_run_hold_the_memory(self):
+        self.rules.memory.move(0, 3_050_000)
+        self.add("answer", 60_000, 0.1, is_answer=True)
+        self.add("request", 2_000, 0.1)
+        self.watch.relieve()
+        self.assertEqual(self.ended, [])
+        self.assertTrue(self.rules.memory.is_exhausted)
+
+    def test_large_request_goes_first(self):
+        self.rules.memory.move(0, 2_900_000)
+        self.add("answer", 60_000, 0.1, is_answer=True)
+        self.add("small", 2_000, 0.1)
+        self.add("large", 400_000, 0.1)
+        self.watch.relieve()
+        self.assertEqual(self.ended, ["large"])
+
+    def test_answer_that_is_not_taken(self):
+        self.rules.memory.move(0, 2_900_000)
+        self.add("answer", 400_000, 6.0, is_answer=True)
+        self.watch.relieve()
+        self.assertEqual(self.ended, ["answer"])
+
 
 if __name__ == "__main__":
     unittest.main()
