--- a/src/fescueflow/gateway/caller_watch.py
+++ b/src/fescueflow/gateway/caller_watch.py
@@ -10,6 +10,7 @@
 from fescueflow.core import Overloaded, RequestError, RequestTooSlow
 from fescueflow.gateway.caller_memory import SMALL_BYTES, Excess
 from fescueflow.gateway.caller_requests import RETRY_AFTER_MS, CallerRules
+from fescueflow.gateway.sockets import has_data
 from fescueflow.routing import (
     UNREAD_S,
     CallerBound,
@@ -31,8 +32,10 @@
 CONNECTIONS_FREE_FRACTION = 1 / 16
 CONNECTIONS_CLOSED_FRACTION = 1 / 4
 # Time without a byte after which a connection may be closed for others: TCP resends a
-# lost packet sooner.
-UNUSED_S = 1.0
+# packet that was lost twice sooner.
+UNUSED_S = 5.0
+# Bounds on what callers send.
+READ_BOUNDS = (CallerBound.HEAD_TIME, CallerBound.BODY_PROGRESS)
 # Answers that are cut at a time for that.
 UNREAD_CUT_MAX = 32
 
@@ -56,6 +59,8 @@
         self._listeners = listeners
         self._connections_max = connections_max
         self._swept_at = self._relief_at = time.monotonic()
+        # Whether requests waited for busy threads in the last sweep.
+        self._is_short_of_threads = False
 
     def sweep(self) -> None:
         """Hold all connections against the bounds twice a second."""
@@ -64,11 +69,13 @@
         if elapsed_s < SWEEP_INTERVAL_S:
             return
         self._swept_at = now
+        self.relieve()
         if elapsed_s < SWEEP_LATE_S:
             self._end_slow(now)
-        self.relieve()
-        self._free_threads(now)
-        self._free_connections(now)
+            self._free_threads(now)
+            self._free_connections(now)
+        else:
+            self._is_short_of_threads = False
 
     def relieve(self) -> None:
         """Have callers give way until the memory suffices.
@@ -122,12 +129,17 @@
             if channel.request is None and not channel.total_outbufs_len:
                 continue
             bound = find_breach(channel.get_progress(now), head_s, now)
+            if bound in READ_BOUNDS and has_data(channel.socket):
+                # The loop is late, not the caller.
+                continue
             if bound is not None:
                 self._end(channel, bound, RequestTooSlow("the request came too slowly"))
 
     def _free_threads(self, now: float) -> None:
         """Cut answers that are not taken if requests wait for their threads."""
-        if not self._listeners[0].task_dispatcher.queue:
+        was_short = self._is_short_of_threads
+        self._is_short_of_threads = self._listeners[0].task_dispatcher.is_short()
+        if not (was_short and self._is_short_of_threads):
             return
         unread = [
             channel
@@ -156,25 +168,27 @@
         idle_s = limits.idle_s if limits else UNUSED_S
         unused = [c for c in channels if self._is_unused(c, idle_s, now)]
         unused.sort(key=lambda channel: channel.received_at)
-        count = int(self._connections_max * CONNECTIONS_CLOSED_FRACTION)
+        count = max(1, int(self._connections_max * CONNECTIONS_CLOSED_FRACTION))
         for channel in unused[:count]:
             if channel.request is not None or channel.total_outbufs_len:
                 error = Overloaded("too many connections", None, RETRY_AFTER_MS)
                 self._end(channel, CallerBound.CONNECTIONS, error)
                 continue
             self._rules.record(channel.addr[0], CallerBound.CONNECTIONS, 0)
-            channel.handle_close()
+            # The loop closes it; what the caller sends meanwhile is discarded first.
+            channel.will_close = True
 
     @staticmethod
     def _is_unused(channel: Any, idle_s: float, now: float) -> bool:
         if channel.total_outbufs_len:
             return bool(now - channel.taken_at > UNREAD_S)
-        if channel.requests or channel.is_lingering:
+        if channel.requests or channel.is_lingering or channel.will_close:
             return False
-        if channel.request is not None:
-            return bool(now - channel.request.progress_at > UNUSED_S)
         since = max(channel.received_at, channel.answered_at)
-        return bool(now - since > (UNUSED_S if channel.is_new else idle_s))
+        is_begun = channel.is_new or channel.request is not None
+        if now - since <= (UNUSED_S if is_begun else idle_s):
+            return False
+        return not has_data(channel.socket)
 
     def _list_channels(self) -> Iterable[Any]:
         for listener in self._listeners:
--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -1,7 +1,6 @@
 """Connections of callers: tasks that answer requests, and how each request ends."""
 
 import contextlib
-import select
 import socket
 import struct
 import time
@@ -15,6 +14,7 @@
 from fescueflow.core import RequestError
 from fescueflow.gateway.application import READ_AT, REQUEST_URI
 from fescueflow.gateway.caller_requests import CallerParser, CallerRules
+from fescueflow.gateway.sockets import has_data
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.unanswered import Cause, UnansweredRequests, find_cause
 from fescueflow.http1 import DirectChannel
@@ -31,17 +31,6 @@
 CUT_ANSWER = "the answer is not written whole"
 
 
-def has_data(connection: Any) -> bool:
-    """Return whether a socket has a connection or data to read."""
-    poll = select.poll()
-    try:
-        poll.register(connection, select.POLLIN)
-    except (TypeError, ValueError):
-        # Closed meanwhile by the server's loop.
-        return False
-    return bool(poll.poll(0))
-
-
 def never() -> bool:
     """Return False."""
     return False
--- a/src/fescueflow/gateway/server.py
+++ b/src/fescueflow/gateway/server.py
@@ -16,7 +16,8 @@
 
 from fescueflow.gateway.caller_requests import CallerRules
 from fescueflow.gateway.caller_watch import CallerWatch
-from fescueflow.gateway.channels import has_data, make_channel_class
+from fescueflow.gateway.channels import make_channel_class
+from fescueflow.gateway.sockets import has_data
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.threads import GrowingDispatcher
 from fescueflow.gateway.unanswered import UnansweredRequests
--- a/src/fescueflow/gateway/threads.py
+++ b/src/fescueflow/gateway/threads.py
@@ -45,6 +45,12 @@
                 self._start_thread()
             self.queue_cv.notify()
 
+    def is_short(self) -> bool:
+        """Return whether tasks wait while all threads are busy."""
+        with self.lock:
+            running = len(self.threads) - self.stop_count
+            return bool(self.queue) and self.active_count >= running
+
     def handler_thread(self, thread_no: int) -> None:
         """Run tasks until the thread has been idle for long or has to stop."""
         while (task := self._take_task(thread_no)) is not None:
