Release what callers have taken of their answers

The library's output buffer kept all of an answer until its last byte was taken, while the account counted only the rest. The existing crowds and bounds stay; the class of the new crowd has more descriptors.

--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -13,6 +13,7 @@
 
 from fescueflow.core import RequestError
 from fescueflow.gateway.application import READ_AT, REQUEST_URI
+from fescueflow.gateway.caller_outputs import OutputBuffer
 from fescueflow.gateway.caller_requests import CallerParser, CallerRules
 from fescueflow.gateway.sockets import has_data
 from fescueflow.gateway.streams import StreamBroken
@@ -172,6 +173,7 @@
         # Whether a request was refused before it was read whole.
         self._is_refused = False
         super().__init__(*args, **options)
+        self.outbufs = [OutputBuffer()]
         self.parser_class = partial(self.parser_class, address=self.addr[0])
 
     def received(self, data: bytes) -> bool:
@@ -193,6 +195,8 @@
         if not before:
             # The loop may sweep as soon as the data is buffered.
             self.taken_at = time.monotonic()
+        # The library would begin a buffer of its own kind after so many bytes.
+        self.current_outbuf_count = 0
         size = super().write_soon(data)
         if before and self.total_outbufs_len < before + size:
             self.taken_at = time.monotonic()
--- a/tests/gateway/outside_callers.py
+++ b/tests/gateway/outside_callers.py
@@ -82,6 +82,11 @@
             for caller in self.callers:
                 send_parts(caller, (part,))
 
+    def read(self, count):
+        """Read so many bytes on each connection, or what comes before its end."""
+        for caller in self.callers:
+            read_bytes(caller, count)
+
     def close(self):
         """Close all connections."""
         for caller in self.callers:
@@ -95,6 +100,13 @@
             caller.sendall(part)
 
 
+def read_bytes(caller, count):
+    """Read so many bytes, or what comes before the connection ends."""
+    with contextlib.suppress(OSError):
+        while count > 0 and (part := caller.recv(min(count, PIECE_BYTES))):
+            count -= len(part)
+
+
 def read_peak_bytes(process):
     """Return the largest resident memory of a process so far."""
     for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
--- a/tests/gateway/test_caller_channels.py
+++ b/tests/gateway/test_caller_channels.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import tracemalloc
 import unittest
 from types import SimpleNamespace
 
@@ -19,6 +20,8 @@
 from tests.gateway.outside_callers import HEAD, render_length
 
 ANSWER_BYTES = 1 << 22
+ANSWER = bytes(range(256)) * (ANSWER_BYTES // 256)
+KEPT_BYTES = 1 << 19
 
 
 def make_rules(memory_bytes=1e8):
@@ -50,7 +53,7 @@
         self.addCleanup(self.caller.close)
         self.addCleanup(ours.close)
         self.channel = channel_class(
-            server, ours, ("127.0.0.1", 1), Adjustments(), map={}
+            server, ours, ("127.0.0.1", 1), Adjustments(outbuf_overflow=1 << 30), map={}
         )
 
     def note_sweep(self):
@@ -81,6 +84,22 @@
         self.assertFalse(self.channel.connected)
         self.assertEqual(self.rules.memory.held_bytes, 0)
 
+    def test_memory_of_an_answer_that_is_taken(self):
+        """Guards against bytes that stay in memory after they have been taken."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.channel.write_soon(ANSWER)
+        before = tracemalloc.get_traced_memory()[0]
+        self.assertGreater(before, ANSWER_BYTES // 2)
+        taken = b""
+        while len(taken) < ANSWER_BYTES - KEPT_BYTES:
+            taken += self.caller.recv(1 << 16)
+            self.channel.handle_write()
+        self.assertEqual(taken, ANSWER[: len(taken)])
+        del taken
+        now = tracemalloc.get_traced_memory()[0]
+        self.assertLess(now, 2 * KEPT_BYTES)
+
 
 class WatchCase(unittest.TestCase):
     def setUp(self):
--- a/tests/gateway/test_outside_callers.py
+++ b/tests/gateway/test_outside_callers.py
@@ -24,7 +24,7 @@
 # The smallest machine of the deployments, with fewer descriptors than any of them.
 MEMORY_MB = 152
 MAX_FDS = 256
-LIMITS = f"[limits]\nmemory_limit_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}\n"
+LIMITS = "[limits]\nmemory_limit_mb = {}\nmax_fds = {}\n"
 BODY_BYTES = 4 << 20
 CALLER_LIMITS = {
     "max_header_bytes": 16384,
@@ -40,15 +40,19 @@
 SHORT_BYTES = 1000
 ENDLESS_BYTES = 15 << 20
 ANSWER_BYTES = 1 << 20
+# Answers of which the end is not read, and how many of them in turn.
+PARTLY_READ_BYTES = 470_000
+UNREAD_BYTES = 300_000
+PARTLY_READ_CROWD = 50
+PARTLY_READ_ROUNDS = 16
 # Time without growth after which a process is taken to have read what it reads.
 SETTLE_S = 0.6
 
 
-class OutsideCallersTest(unittest.TestCase):
-    """Guards against callers that exhaust the memory or the descriptors of a process.
+class OutsideCallersCase(unittest.TestCase):
+    """Starts a process; a test ends with an ordinary request beside the crowd's."""
 
-    Each test ends with one ordinary request while the crowd's connections are open.
-    """
+    max_fds = MAX_FDS
 
     def setUp(self):
         store = FakeStore()
@@ -61,8 +65,9 @@
         store.put("op/config", make_table(1, limits=CALLER_LIMITS))
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
+        limits = LIMITS.format(MEMORY_MB, self.max_fds)
         self.process, self.ports = start_process(
-            directory.name, store.port, subprocess.DEVNULL, 1.0, LIMITS
+            directory.name, store.port, subprocess.DEVNULL, 1.0, limits
         )
         self.addCleanup(self.process.stderr.close)
         self.addCleanup(self.process.wait)
@@ -115,12 +120,19 @@
         self.wait_for_answer()
         self.assertIsNone(self.process.poll())
         self.assertLess(read_peak_bytes(self.process), MEMORY_MB * 1e6)
-        self.assertLess(count_descriptors(self.process), MAX_FDS)
+        self.assertLess(count_descriptors(self.process), self.max_fds)
 
     def play(self, make_parts, count=CROWD):
         self.make_crowd(count).send(make_parts)
         self.check()
 
+
+class OutsideCallersTest(OutsideCallersCase):
+    """Guards against callers that exhaust the memory or the descriptors of a process.
+
+    Each test ends with one ordinary request while the crowd's connections are open.
+    """
+
     def test_bodies_with_a_length_that_stop_short(self):
         def make_parts():
             yield HEAD + render_length(BODY_BYTES)
@@ -247,5 +259,23 @@
         self.assertLess(read_peak_bytes(self.process), MEMORY_MB * 1e6)
 
 
+class ManyCallersTest(OutsideCallersCase):
+    """Guards against buffers that hold what many callers have taken."""
+
+    max_fds = 1100
+
+    def test_answers_that_are_read_but_for_their_end(self):
+        self.upstream.script = lambda handler: handler.send_sealed(
+            body=b"y" * PARTLY_READ_BYTES
+        )
+        request = HEAD + b"X-Deadline-Ms: 8000\r\n" + render_length(0)
+        for _ in range(PARTLY_READ_ROUNDS):
+            crowd = self.make_crowd(PARTLY_READ_CROWD, receive_bytes=4096)
+            crowd.send_in_turn([request])
+            crowd.read(PARTLY_READ_BYTES - UNREAD_BYTES)
+        self.upstream.script = lambda handler: handler.send_sealed()
+        self.check()
+
+
 if __name__ == "__main__":
     unittest.main()
