Give the status server an account of its own

It shared the callers' account without being able to release their bytes, so that the platform's questions got 503 while callers held the memory. Its account is sized from 1/16 of the memory.

--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -72,6 +72,9 @@
 # three times as long.
 ADDRESS_TTL_S = 2.0
 MAINTENANCE_INTERVAL_S = 0.5
+# Part of the machine's memory from which the bounds of operators' and the platform's
+# requests are derived: these have no large bodies.
+STATUS_FRACTION = 1 / 16
 # Limit for a complete response of the store.
 STORE_CALL_TIMEOUT_S = 3.0
 EXIT_INVALID = 2
@@ -317,7 +320,11 @@
             is_leaving=lambda: False,
             # Operators' questions are not counted among the requests of callers.
             unanswered=UnansweredRequests(Metrics()),
-            rules=self._rules,
+            # Callers that use up their memory don't keep the platform from asking.
+            rules=replace(
+                self._rules,
+                memory=CallerMemory(self._boot.memory_mb * 1e6 * STATUS_FRACTION),
+            ),
             connections_max=limit_connections(self._boot.max_fds, STATUS_FDS_FRACTION),
         )
 
