Skip line ends before a request and close after 64 of them

Each two line ends cost a parser in the server's loop. They are now taken at once; a connection with more than 64 bytes of them between requests is closed.

--- a/src/fescueflow/gateway/caller_requests.py
+++ b/src/fescueflow/gateway/caller_requests.py
@@ -34,6 +34,7 @@
 # rendered for the upstream. In 1/8, so that the account stays exact.
 BODY_COST_EIGHTHS = 17
 RETRY_AFTER_MS = 1000
+LINE_END = b"\r\n"
 # The attempt's id among the headers that the server has read.
 ATTEMPT_ID_KEY = ATTEMPT_ID_VARIABLE.removeprefix("HTTP_")
 REASON_PHRASES = {
@@ -111,6 +112,8 @@
         When the request had been read, on the monotonic clock in seconds.
     held_bytes : int
         Memory that it holds.
+    line_ends : int
+        Bytes of line ends before it.
     progress_at : float
         When it began or its body last grew by ``PROGRESS_BYTES``, on the same clock.
     """
@@ -121,6 +124,7 @@
     is_answered = False
     read_at = 0.0
     held_bytes = 0
+    line_ends = 0
     # Of a request that is refused before its head is read.
     path = ""
     command = ""
@@ -143,7 +147,27 @@
         self._hold(0)
 
     def received(self, data: bytes) -> int:
-        """Read a part of the request; return the number of bytes used."""
+        """Read a part of the request; return the number of bytes used.
+
+        Notes
+        -----
+        The library takes two line ends for an empty request, and would make a parser
+        for each of them.
+        """
+        if self.is_blank and not self.completed:
+            rest = data.lstrip(LINE_END)
+            self.line_ends += len(data) - len(rest)
+            if not rest:
+                return len(data)
+            return len(data) - len(rest) + self._receive(rest)
+        return self._receive(data)
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether only line ends have been received."""
+        return not self.header_bytes_received
+
+    def _receive(self, data: bytes) -> int:
         count: int = super().received(data)
         if self.error is None:
             self._check_size()
--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -29,6 +29,8 @@
 LINGER_READ_BYTES = 1 << 16
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSED = "the connection is closed"
+# Bytes of line ends between two requests: some callers send one after a body.
+LINE_ENDS_MAX = 64
 CUT_ANSWER = "the answer is not written whole"
 
 
@@ -170,6 +172,8 @@
         self.received_at = self.answered_at = self.taken_at = time.monotonic()
         # Bytes of the output that the account counts.
         self._output_bytes = 0
+        # Bytes of line ends since the last request.
+        self._line_ends = 0
         # Whether a request was refused before it was read whole.
         self._is_refused = False
         super().__init__(*args, **options)
@@ -183,12 +187,24 @@
         self.is_new = False
         with self.requests_lock:
             is_failed = bool(self.requests and self.requests[-1].error)
+            self._drop_line_ends()
         if is_failed:
             self._stop_reading()
         if self.rules.memory.is_over:
             self.relieve()
         return taken
 
+    def _drop_line_ends(self) -> None:
+        """Take no line ends for the begin of a request; close after many of them."""
+        request = self.request
+        if request is None or not request.is_blank:
+            self._line_ends = 0
+            return
+        self._line_ends += request.line_ends
+        self.request = None
+        if self._line_ends > LINE_ENDS_MAX:
+            self.will_close = True
+
     def write_soon(self, data: Any) -> int:
         """Send or buffer the data; return its size in bytes."""
         before = self.total_outbufs_len
--- a/tests/gateway/test_caller_refusals.py
+++ b/tests/gateway/test_caller_refusals.py
@@ -96,6 +96,23 @@
             caller.close()
         self.assertEqual(self.call("/safe/1")[0], 200)
 
+    def test_line_ends_without_end(self):
+        """Guards against a loop that makes a parser for each of them."""
+        caller = connect(self.ports["callers"])
+        self.addCleanup(caller.close)
+        caller.sendall(b"\r\n" * 20 + HEAD + DEADLINE + render_length(1) + b"x")
+        self.assertIn(b"HTTP/1.1 200", caller.recv(1 << 16))
+        caller.sendall(b"\r\n" * 33)
+        self.assertEqual(list_statuses(read_all(caller)[0]), [])
+
+    def test_status_while_callers_hold_the_memory(self):
+        """Guards against refusals of the platform's questions."""
+        memory = self.gateway._rules.memory
+        self.addCleanup(memory.move, 1 << 40, 0)
+        memory.move(0, 1 << 40)
+        self.assertEqual(self.call("/safe/1")[0], 503)
+        self.assertEqual(self.get_page("directory", "/metrics")[0], 200)
+
     def test_request_after_its_answer(self):
         """Guards against bodies that stay until the garbage collector runs."""
         gc.collect()
