--- a/src/fescueflow/gateway/channels.py
+++ b/src/fescueflow/gateway/channels.py
@@ -1,7 +1,6 @@
 """Connections of callers: tasks that answer requests, and how each request ends."""
 
 import contextlib
-import select
 import socket
 import struct
 import time
@@ -14,7 +13,9 @@
 
 from fescueflow.core import RequestError
 from fescueflow.gateway.application import READ_AT, REQUEST_URI
+from fescueflow.gateway.caller_outputs import OutputBuffer
 from fescueflow.gateway.caller_requests import CallerParser, CallerRules
+from fescueflow.gateway.sockets import has_data
 from fescueflow.gateway.streams import StreamBroken
 from fescueflow.gateway.unanswered import Cause, UnansweredRequests, find_cause
 from fescueflow.http1 import DirectChannel
@@ -26,21 +27,13 @@
 # reads slowly needs it to have the rest of its answer.
 LINGER_S = 2.0
 LINGER_READ_BYTES = 1 << 16
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSED = "the connection is closed"
+# Bytes of line ends between two requests: some callers send one after a body.
+LINE_ENDS_MAX = 64
 CUT_ANSWER = "the answer is not written whole"
 
 
-def has_data(connection: Any) -> bool:
-    """Return whether a socket has a connection or data to read."""
-    poll = select.poll()
-    try:
-        poll.register(connection, select.POLLIN)
-    except (TypeError, ValueError):
-        # Closed meanwhile by the server's loop.
-        return False
-    return bool(poll.poll(0))
-
-
 def never() -> bool:
     """Return False."""
     return False
@@ -179,9 +172,12 @@
         self.received_at = self.answered_at = self.taken_at = time.monotonic()
         # Bytes of the output that the account counts.
         self._output_bytes = 0
+        # Bytes of line ends since the last request.
+        self._line_ends = 0
         # Whether a request was refused before it was read whole.
         self._is_refused = False
         super().__init__(*args, **options)
+        self.outbufs = [OutputBuffer()]
         self.parser_class = partial(self.parser_class, address=self.addr[0])
 
     def received(self, data: bytes) -> bool:
@@ -191,15 +187,32 @@
         self.is_new = False
         with self.requests_lock:
             is_failed = bool(self.requests and self.requests[-1].error)
+            self._drop_line_ends()
         if is_failed:
             self._stop_reading()
         if self.rules.memory.is_over:
             self.relieve()
         return taken
 
+    def _drop_line_ends(self) -> None:
+        """Take no line ends for the begin of a request; close after many of them."""
+        request = self.request
+        if request is None or not request.is_blank:
+            self._line_ends = 0
+            return
+        self._line_ends += request.line_ends
+        self.request = None
+        if self._line_ends > LINE_ENDS_MAX:
+            self.will_close = True
+
     def write_soon(self, data: Any) -> int:
         """Send or buffer the data; return its size in bytes."""
         before = self.total_outbufs_len
+        if not before:
+            # The loop may sweep as soon as the data is buffered.
+            self.taken_at = time.monotonic()
+        # The library would begin a buffer of its own kind after so many bytes.
+        self.current_outbuf_count = 0
         size = super().write_soon(data)
         if before and self.total_outbufs_len < before + size:
             self.taken_at = time.monotonic()
@@ -207,6 +220,31 @@
             self._hold_output()
         return size
 
+    def send_continue(self) -> None:
+        """Ask the caller to go on with its body.
+
+        Notes
+        -----
+        In place of the HTTP library's, which closes a connection that has failed:
+        its caller holds ``requests_lock``, which the close needs, too. The server's
+        loop finds the failure in its next turn.
+        """
+        request = self.request
+        if request is None:
+            return
+        request.expect_continue = False
+        with self.outbuf_lock:
+            if not self.total_outbufs_len:
+                self.taken_at = time.monotonic()
+            self.outbufs[-1].append(CONTINUE)
+            self.current_outbuf_count += len(CONTINUE)
+            self.total_outbufs_len += len(CONTINUE)
+            self.sent_continue = True
+            self._flush_exception(self._flush_some, do_close=False)
+        if self.total_outbufs_len != self._output_bytes:
+            self._hold_output()
+        request.completed = False
+
     def handle_write(self) -> None:
         """Send what waits for the caller."""
         before = self.total_outbufs_len
@@ -238,11 +276,17 @@
     def get_hold(self) -> Hold:
         """Return what giving way would release."""
         request = self.request
-        size, since = self._output_bytes, self.taken_at
-        if request is not None:
-            size += request.held_bytes
-            since = request.progress_at
-        return Hold(self, size, since)
+        size = self._output_bytes
+        if request is None:
+            return Hold(self, size, self.taken_at, is_answer=True)
+        if self._is_request_larger():
+            return Hold(self, request.held_bytes, request.progress_at)
+        return Hold(self, size + request.held_bytes, self.taken_at, is_answer=True)
+
+    def _is_request_larger(self) -> bool:
+        """Return whether the request that is read holds more than the output."""
+        request = self.request
+        return request is not None and request.held_bytes > self._output_bytes
 
     def give_way(self, limit: CallerBound, error: RequestError) -> None:
         """Refuse the request that is read, or cut an answer that is not taken.
@@ -250,11 +294,13 @@
         Notes
         -----
         Runs in the server's loop. The refusal comes after the answers to earlier
-        requests. A connection whose output waits takes no further one.
+        requests. A connection whose output waits takes no further one, unless it is
+        the request read behind it that holds the memory.
         """
         size = self.get_hold().held_bytes
         self.rules.record(self.addr[0], limit, size)
-        if self.total_outbufs_len:
+        is_request = limit is CallerBound.MEMORY and self._is_request_larger()
+        if self.total_outbufs_len and not is_request:
             self.close_cause = Cause.NOT_WRITTEN
             self.reset_on_close()
             self._end()
@@ -277,8 +323,6 @@
         with self.outbuf_lock:
             before, self._output_bytes = self._output_bytes, self.total_outbufs_len
             self.rules.memory.move(before, self._output_bytes)
-            if not before:
-                self.taken_at = time.monotonic()
 
     def note_answer(self, request: CallerParser) -> None:
         """Note that the whole answer to a request is written or buffered."""
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -15,11 +15,14 @@
 from fescueflow.routing.caller_ages import RETURN_MIN_S, CallerAges
 from fescueflow.routing.caller_bounds import (
     PROGRESS_BYTES,
+    UNREAD_S,
     CallerBound,
     CallerProgress,
     Hold,
     choose_yielding,
     find_breach,
+    list_large,
+    list_releasable,
 )
 from fescueflow.routing.coordinators import (
     CoordinatorCandidate,
@@ -133,11 +136,14 @@
 
 __all__ = [
     "PROGRESS_BYTES",
+    "UNREAD_S",
     "CallerBound",
     "CallerProgress",
     "Hold",
     "choose_yielding",
     "find_breach",
+    "list_large",
+    "list_releasable",
     "PREFILL_TOKENS_PER_MS",
     "PRIORITY_DEFAULT",
     "PRIORITY_HIGHEST",
