--- a/tests/gateway/crash_fleet.py
+++ b/tests/gateway/crash_fleet.py
@@ -211,7 +211,7 @@
             has_begun=False,
             has_survived=False,
             begun_at=now,
-            exchange=SimpleNamespace(get_keep_alive=lambda: (True, None)),
+            exchange=SimpleNamespace(status=200, get_keep_alive=lambda: (True, None)),
             retry=lambda: self._send(instance, prompt, tried, number + 1),
             instance=instance,
             number=number,
--- a/tests/gateway/relay_fleet.py
+++ b/tests/gateway/relay_fleet.py
@@ -103,10 +103,21 @@
         return []
 
 
+class NoSpeeds:
+    """Speeds of upstreams of which nothing is known."""
+
+    def take_updates(self, now):
+        return []
+
+    def merge(self, source, updates, now):
+        """Do nothing."""
+
+
 class NoSelector:
     """Selector of an instance that places no requests."""
 
     limits = NoLimits()
+    speeds = NoSpeeds()
 
     def merge_limits(self, updates):
         """Do nothing."""
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -46,6 +46,8 @@
         """An engine that has evicted the part would read 10,000 tokens again."""
         index = self.find_holder()
         other = self.upstreams[1 - index]
+        platform_state = self.gateway._platform_state
+        self.wait_for(lambda: len(platform_state.list_upstreams("engines", 0.0)) == 2)
         self.assertEqual(self.call("/stream/1", headers=self.prompt)[0], 200)
         _, headers, _ = self.upstreams[index].arrivals[-1]
         self.assertEqual(headers["Kv-Fetch"], other.address)
