Log what marks the end of a stream and what follows its last event

Cause: the line "stream ended" was the same for a whole stream and for one that its upstream had stopped inside an event, so that the logs could not tell whether the instance took the stream for whole, lost its rest or never got one. Change: end_mark, events and rest_bytes in that line.

--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -14,7 +14,7 @@
 from fescueflow.core import Clock, FescueflowError, InvalidRequest
 from fescueflow.gateway.buffers import AnswerBuffer, BufferFull
 from fescueflow.gateway.connections import UpstreamConnection
-from fescueflow.http1 import ChunkDecoder, HeadReader
+from fescueflow.http1 import ChunkDecoder, EndMark, HeadReader
 from fescueflow.platform import ATTEMPT_ID_HEADER, Headers
 from fescueflow.routing import AttemptFailure, CallerDisconnected
 
@@ -231,9 +231,9 @@
             return False
         except OSError:
             return True
-        has_length = self._decoder is not None or self._remaining_bytes is not None
+        is_marked = self.end_mark is not EndMark.CONNECTION
         is_response_cut = self._is_reset or self._is_request_cut
-        return self._response is None or has_length or is_response_cut
+        return self._response is None or is_marked or is_response_cut
 
     def iterate_parts(
         self, deadline: float, get_limit: Callable[[], float] | None = None
@@ -265,7 +265,7 @@
             data = self._receive(limit)
             if data:
                 yield from self._decode(data)
-            elif self._decoder is not None or self._remaining_bytes is not None:
+            elif self.end_mark is not EndMark.CONNECTION:
                 raise ConnectionLost("the body is cut")
             elif self._is_request_cut:
                 raise ConnectionLost("an unmarked end before that of the request")
@@ -287,6 +287,15 @@
             parts.append(part)
         return b"".join(parts)
 
+    @property
+    def end_mark(self) -> EndMark:
+        """What marks the end of the body, once the head has been read."""
+        if self._decoder is not None:
+            return EndMark.CHUNKS
+        if self._remaining_bytes is not None:
+            return EndMark.LENGTH
+        return EndMark.CONNECTION
+
     @property
     def has_marked_end(self) -> bool:
         """Whether a length or chunks show that the body is complete.
@@ -295,9 +304,7 @@
         -----
         A body that ends with its connection may be that of a server that crashed.
         """
-        return self.is_complete and (
-            self._remaining_bytes is not None or self._decoder is not None
-        )
+        return self.is_complete and self.end_mark is not EndMark.CONNECTION
 
     def get_keep_alive(self) -> tuple[bool, float | None]:
         """Return whether the connection is reusable, and its keep-alive timeout."""
@@ -310,7 +317,7 @@
             and not self._has_trailing_bytes
             and response is not None
             and not response.will_close
-            and (self._remaining_bytes is not None or self._decoder is not None)
+            and self.end_mark is not EndMark.CONNECTION
         )
         found = KEEP_ALIVE_TIMEOUT_PATTERN.search(self.get_header("Keep-Alive") or "")
         return reusable, float(found[1]) if found else None
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -210,7 +210,7 @@
                 attempt.finish()
                 if rest:
                     yield rest
-                log_stream_end(context, times, self._clock.monotonic())
+                log_stream_end(context, times, self._clock.monotonic(), len(rest))
                 return
             except ExchangeFailed as failure:
                 self._continue_stream(context, splitter, failure)
--- a/src/fescueflow/gateway/request_logs.py
+++ b/src/fescueflow/gateway/request_logs.py
@@ -131,13 +131,28 @@
     )
 
 
-def log_stream_end(context: RequestContext, times: RelayTimes, now: float) -> None:
-    """Log the complete end of a stream and its longest pauses."""
+def log_stream_end(
+    context: RequestContext, times: RelayTimes, now: float, rest_bytes: int
+) -> None:
+    """Log the complete end of a stream and its longest pauses.
+
+    Parameters
+    ----------
+    context : RequestContext
+    times : RelayTimes
+    now : float
+    rest_bytes : int
+        Bytes after the last complete event.
+    """
+    attempt = context.attempt
     log.info(
         "stream ended",
         extra={
             "id": context.request.headers.attempt_id,
             "upstream": str(context.upstream.id) if context.upstream else None,
+            "end_mark": attempt.exchange.end_mark.value if attempt else None,
+            "events": context.event_count,
+            "rest_bytes": rest_bytes,
             "parts": times.parts,
             "longest_gap_ms": round(times.upstream_wait_s * 1000),
             "longest_hold_ms": round(times.caller_wait_s * 1000),
