Split event streams at any line end

What callers saw: nothing of a stream whose lines end with CR until its end, and a broken stream where it could have been resumed, as no event and no id was found in it. Cause: EventSplitter took only LF and CRLF for the end of a line; the format allows CR, too. Change: the splitter moves to a package of its own, event_streams, and takes any line end. A CR at the end of the data ends a blank line only in a stream whose lines end with CR: the LF of a CRLF may follow, or be missing.

--- /dev/null
+++ b/src/fescueflow/event_streams/__init__.py
@@ -0,0 +1,5 @@
+"""Event streams (HTML Living Standard, section 9.2) as instances pass them on."""
+
+from fescueflow.event_streams.splitting import EventSplitter, MalformedStream
+
+__all__ = ["EventSplitter", "MalformedStream"]
--- /dev/null
+++ b/src/fescueflow/event_streams/splitting.py
@@ -0,0 +1,87 @@
+"""Splitting of an event stream into complete events."""
+
+import re
+
+from fescueflow.core import FescueflowError
+
+# A blank line ends an event; a line ends with CRLF, LF or CR. A single CR at the end of
+# the data may be the first half of CRLF, so that it ends a blank line only in a stream
+# whose lines end with CR.
+EVENT_END = re.compile(rb"\r?\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
+EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+# Limit for an incomplete event; the upstreams' events hold a few tokens.
+EVENT_BYTES_MAX = 1 << 18
+
+
+class MalformedStream(FescueflowError):
+    """The bytes are not those of the stream that was asked for."""
+
+
+class EventSplitter:
+    """Splits the bytes of a stream into complete events.
+
+    Attributes
+    ----------
+    last_id : str or None
+        Id of the last complete event.
+    event_count : int
+        Number of complete events.
+    """
+
+    def __init__(self) -> None:
+        self.last_id: str | None = None
+        self.event_count = 0
+        self._pending = b""
+        # Id after which a resumed stream goes on, until its first event.
+        self._resumed_after: str | None = None
+
+    def feed(self, data: bytes) -> bytes:
+        """Add data and return the events that it completes.
+
+        Raises
+        ------
+        MalformedStream
+            If an incomplete event exceeds its size limit, or if a resumed stream begins
+            again instead of going on.
+        """
+        self._pending += data
+        end = 0
+        for found in EVENT_END.finditer(self._pending):
+            end = found.end()
+            self.event_count += 1
+        events, self._pending = self._pending[:end], self._pending[end:]
+        if len(self._pending) > EVENT_BYTES_MAX:
+            raise MalformedStream("an event is too large")
+        ids = [found.decode("latin-1").strip() for found in EVENT_ID.findall(events)]
+        if ids:
+            if not is_later(ids[0], self._resumed_after):
+                raise MalformedStream("the stream began again")
+            self.last_id, self._resumed_after = ids[-1], None
+        return events
+
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether bytes of an incomplete event have arrived."""
+        return bool(self._pending)
+
+    def take_remainder(self) -> bytes:
+        """Return the incomplete event at the end of a stream."""
+        rest, self._pending = self._pending, b""
+        return rest
+
+    def resume(self) -> None:
+        """Discard an incomplete event; later ones come from another upstream."""
+        self._pending = b""
+        self._resumed_after = self.last_id
+
+
+def is_later(event_id: str, other: str | None) -> bool:
+    """Return whether an event comes after another one; ids grow by the protocol."""
+    if other is None:
+        return True
+    if event_id.isdecimal() and other.isdecimal():
+        return int(event_id) > int(other)
+    return event_id != other
+
+
+__all__ = ["EventSplitter", "MalformedStream"]
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -7,6 +7,7 @@
     Clock,
     RequestError,
 )
+from fescueflow.event_streams import EventSplitter, MalformedStream
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
 from fescueflow.gateway.dispatch import (
@@ -30,7 +31,6 @@
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
 from fescueflow.gateway.streams import (
-    EventSplitter,
     RelayTimes,
     StreamBody,
     StreamBroken,
@@ -179,7 +179,7 @@
         self, context: RequestContext, attempt: Attempt, splitter: EventSplitter
     ) -> bytes:
         for part in attempt.iterate_parts(context.deadline, context.watch.get_limit):
-            events = splitter.feed(part)
+            events = feed_events(splitter, part)
             if events:
                 record_events(context, attempt, splitter, self._clock.monotonic())
                 return events
@@ -196,7 +196,7 @@
         while (attempt := context.attempt) is not None:
             try:
                 for part in attempt.iterate_parts(context.deadline, watch.get_limit):
-                    if events := splitter.feed(part):
+                    if events := feed_events(splitter, part):
                         record_events(
                             context, attempt, splitter, self._clock.monotonic()
                         )
@@ -297,6 +297,20 @@
         return StreamBroken(reason)
 
 
+def feed_events(splitter: EventSplitter, part: bytes) -> bytes:
+    """Return the events that a part of a body completes.
+
+    Raises
+    ------
+    ExchangeFailed
+        If the part is malformed.
+    """
+    try:
+        return splitter.feed(part)
+    except MalformedStream as error:
+        raise ExchangeFailed(AttemptFailure.BROKEN, str(error)) from error
+
+
 def record_events(
     context: RequestContext, attempt: Attempt, splitter: EventSplitter, now: float
 ) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,9 +1,8 @@
-"""Tests of event splitting and of relayed streams."""
+"""Tests of relayed streams."""
 
 import unittest
 
 from fescueflow.gateway.streams import (
-    EventSplitter,
     RelayTimes,
     StreamBody,
     record_times,
@@ -11,25 +10,6 @@
 from tests.fakes import FakeClock
 
 
-class EventSplitterTest(unittest.TestCase):
-    """Guards against relaying incomplete events of an upstream that stops."""
-
-    def test_events_in_parts_of_any_size(self):
-        stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
-        for size in (1, 3, 7, len(stream)):
-            splitter = EventSplitter()
-            parts = [stream[n : n + size] for n in range(0, len(stream), size)]
-            events = b"".join(splitter.feed(part) for part in parts)
-            self.assertEqual(events, stream[:30])
-            self.assertEqual(splitter.last_id, "2")
-            self.assertEqual(splitter.take_remainder(), b"id: 3\nda")
-
-    def test_crlf_line_ends(self):
-        splitter = EventSplitter()
-        self.assertEqual(splitter.feed(b"id: 7\r\ndata: a\r\n\r\n")[:5], b"id: 7")
-        self.assertEqual(splitter.last_id, "7")
-
-
 class WatchTimesTest(unittest.TestCase):
     """Guards against attributing the delay of a stream to the wrong side."""
 
