Take a stream that ends inside an event for cut, however its body ends

Cause: Forwarder took the rest after the last event for a cut only if nothing marked the end of the body. Where chunks or a length did, the rest was passed on and the stream counted as whole, before the first event, too. Change: the splitter tells whether a body that ends here is cut (event_streams.ends). A mark shows that the body is whole, not that its stream is: a stream ends after a blank line. Such an attempt has failed like any broken one: a retry or a resumption where the route allows it and another upstream has room, else a 502 before the first event and a connection without the last chunk after it. It is counted in early_stream_ends_total and named in the line "attempt failed". Bodies that are not made of events, by their type or by what they hold, are passed on as before, and so is every byte of a whole stream.

--- a/src/fescueflow/event_streams/__init__.py
+++ b/src/fescueflow/event_streams/__init__.py
@@ -1,5 +1,6 @@
 """Event streams (HTML Living Standard, section 9.2) as instances pass them on."""
 
+from fescueflow.event_streams.ends import StreamCut
 from fescueflow.event_streams.splitting import EventSplitter, MalformedStream
 
-__all__ = ["EventSplitter", "MalformedStream"]
+__all__ = ["EventSplitter", "MalformedStream", "StreamCut"]
--- a/src/fescueflow/event_streams/splitting.py
+++ b/src/fescueflow/event_streams/splitting.py
@@ -1,8 +1,10 @@
 """Splitting of an event stream into complete events."""
 
 import re
+from collections.abc import Collection
 
 from fescueflow.core import FescueflowError
+from fescueflow.event_streams.ends import StreamCut, begins_event, may_hold_events
 
 # A blank line ends an event; a line ends with CRLF, LF or CR. A single CR at the end of
 # the data may be the first half of CRLF, so that it ends a blank line only in a stream
@@ -20,6 +22,13 @@
 class EventSplitter:
     """Splits the bytes of a stream into complete events.
 
+    Parameters
+    ----------
+    content_type : str, optional
+        Type of the body, if its head has one.
+    field_names : collection of bytes, optional
+        Names of fields in addition to those of the format.
+
     Attributes
     ----------
     last_id : str or None
@@ -28,12 +37,18 @@
         Number of complete events.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, content_type: str | None = None, field_names: Collection[bytes] = ()
+    ) -> None:
         self.last_id: str | None = None
         self.event_count = 0
         self._pending = b""
         # Id after which a resumed stream goes on, until its first event.
         self._resumed_after: str | None = None
+        self._field_names = field_names
+        self._may_hold_events = may_hold_events(content_type)
+        # Whether the body is made of events, once that is known.
+        self._holds_events: bool | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the events that it completes.
@@ -57,13 +72,37 @@
             if not is_later(ids[0], self._resumed_after):
                 raise MalformedStream("the stream began again")
             self.last_id, self._resumed_after = ids[-1], None
+            self._holds_events = True
+        elif self._holds_events is None and events.strip():
+            self._holds_events = begins_event(events, self._field_names)
         return events
 
+    def find_cut(self) -> StreamCut | None:
+        """Return how a body that ends here is cut, ``None`` if it may be whole.
+
+        Notes
+        -----
+        A body that is not made of events may end anywhere. One that ends between two
+        events can't be told from a whole stream.
+        """
+        if not self._may_hold_events or not self.has_remainder:
+            return None
+        if self._holds_events is None:
+            holds_events = begins_event(self._pending, self._field_names)
+        else:
+            holds_events = self._holds_events
+        return StreamCut.INSIDE_EVENT if holds_events else None
+
     @property
     def has_partial_event(self) -> bool:
         """Whether bytes of an incomplete event have arrived."""
         return bool(self._pending)
 
+    @property
+    def has_remainder(self) -> bool:
+        """Whether something else than line ends follows the last complete event."""
+        return bool(self._pending.strip())
+
     def take_remainder(self) -> bytes:
         """Return the incomplete event at the end of a stream."""
         rest, self._pending = self._pending, b""
--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -18,6 +18,7 @@
 from fescueflow.gateway.peers import HURRIED_INTERVAL_S
 from fescueflow.gateway.quarantine import PromptQuarantine
 from fescueflow.gateway.selection import Selection, UpstreamSelector
+from fescueflow.gateway.stream_ends import StreamEndedEarly
 from fescueflow.metrics import Metrics
 from fescueflow.platform import (
     LEAVING_HEADER,
@@ -515,7 +516,13 @@
             log.debug("silence of {} recorded before", upstream)
         elif failure.kind is not AttemptFailure.REFUSED:
             self._record_unhealthy(upstream)
-        if isinstance(failure, ConnectionLost):
+        if isinstance(failure, StreamEndedEarly):
+            self._metrics.count(
+                "early_stream_ends",
+                cut=failure.cut.value,
+                end_mark=failure.end_mark.value,
+            )
+        if failure.may_be_crash:
             self._record_lost(attempt)
         self._metrics.count("attempts", end=failure.kind.value)
 
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -42,6 +42,11 @@
         self.kind = kind
         self.reason = reason
 
+    @property
+    def may_be_crash(self) -> bool:
+        """Whether the upstream's process may have ended."""
+        return False
+
 
 class ConnectionLost(ExchangeFailed):
     """The connection ended or was reset before the end of the response."""
@@ -49,6 +54,11 @@
     def __init__(self, reason: str) -> None:
         super().__init__(AttemptFailure.BROKEN, reason)
 
+    @property
+    def may_be_crash(self) -> bool:
+        """Whether the upstream's process may have ended."""
+        return True
+
 
 class OtherResponded(FescueflowError):
     """The connection that is watched beside the exchange has data, or has ended."""
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -30,6 +30,7 @@
 )
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
+from fescueflow.gateway.stream_ends import check_stream_end
 from fescueflow.gateway.streams import (
     RelayTimes,
     StreamBody,
@@ -37,9 +38,7 @@
     prepend,
     record_times,
 )
-from fescueflow.platform import (
-    select_response_headers,
-)
+from fescueflow.platform import EVENT_FIELDS, select_response_headers
 from fescueflow.routing import (
     PRIORITY_DEFAULT,
     AttemptFailure,
@@ -151,8 +150,8 @@
             # Returned to the caller if no other upstream succeeds.
             context.fallback = response
             raise ExchangeFailed(AttemptFailure.SERVER_ERROR, f"status {status}")
-        splitter = EventSplitter()
         context.content_type = attempt.exchange.get_header(CONTENT_TYPE)
+        splitter = EventSplitter(context.content_type, EVENT_FIELDS)
         # Until the first event arrives, the request may still be sent to another
         # upstream.
         while True:
@@ -183,6 +182,7 @@
             if events:
                 record_events(context, attempt, splitter, self._clock.monotonic())
                 return events
+        check_stream_end(splitter, attempt.exchange)
         if not attempt.exchange.has_marked_end:
             raise ConnectionLost("the stream ended before its first event")
         return splitter.take_remainder()
@@ -203,12 +203,10 @@
                         yield events
                         # The caller's time to take the events does not count.
                         watch.mark_progress(self._clock.monotonic())
-                rest = splitter.take_remainder()
-                if rest.strip() and not attempt.exchange.has_marked_end:
-                    raise ConnectionLost("the stream ended inside an event")
+                check_stream_end(splitter, attempt.exchange)
                 attempt.check_end()
                 attempt.finish()
-                if rest:
+                if rest := splitter.take_remainder():
                     yield rest
                 log_stream_end(context, times, self._clock.monotonic(), len(rest))
                 return
--- a/src/fescueflow/gateway/request_logs.py
+++ b/src/fescueflow/gateway/request_logs.py
@@ -9,6 +9,7 @@
 from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.requests import CallerRequest, RequestContext
 from fescueflow.gateway.selection import Selection
+from fescueflow.gateway.stream_ends import StreamEndedEarly
 from fescueflow.gateway.streams import RelayTimes
 from fescueflow.routing import RetryDenial, RoutingTable, Upstream
 
@@ -85,6 +86,7 @@
             "id": context.request.headers.attempt_id,
             "end": failure.kind.value,
             "why": failure.reason,
+            **describe_early_end(failure),
             "prompt_parts": list_parts(context),
             "events": context.event_count,
             **describe_upstream(context.upstream, clock),
@@ -92,6 +94,13 @@
     )
 
 
+def describe_early_end(failure: ExchangeFailed) -> dict[str, str]:
+    """Return the log fields of a body that has ended before its stream."""
+    if not isinstance(failure, StreamEndedEarly):
+        return {}
+    return {"cut": failure.cut.value, "end_mark": failure.end_mark.value}
+
+
 def log_no_retry(context: RequestContext, denial: RetryDenial) -> None:
     """Log why a request gets no further attempt."""
     log.warning(
--- /dev/null
+++ b/src/fescueflow/gateway/stream_ends.py
@@ -0,0 +1,52 @@
+"""Checks of the end of a stream's body."""
+
+from fescueflow.event_streams import EventSplitter, StreamCut
+from fescueflow.gateway.exchange import ConnectionLost, Exchange, ExchangeFailed
+from fescueflow.http1 import EndMark
+from fescueflow.routing import AttemptFailure
+
+REASONS = {StreamCut.INSIDE_EVENT: "the stream ended inside an event"}
+
+
+class StreamEndedEarly(ExchangeFailed):
+    """The body of a stream has ended in good form, but not the stream.
+
+    Parameters
+    ----------
+    cut : StreamCut
+    end_mark : EndMark
+        What marked the end of the body.
+    """
+
+    def __init__(self, cut: StreamCut, end_mark: EndMark) -> None:
+        super().__init__(AttemptFailure.BROKEN, REASONS[cut])
+        self.cut = cut
+        self.end_mark = end_mark
+
+    @property
+    def may_be_crash(self) -> bool:
+        """Whether the upstream's process may have ended, and not the stream alone."""
+        return self.end_mark is EndMark.CONNECTION
+
+
+def check_stream_end(splitter: EventSplitter, exchange: Exchange) -> None:
+    """Check that a body which has ended is a whole stream.
+
+    Notes
+    -----
+    Nothing shows where a body ends that has no blank line at its end, is not made of
+    events and ends with its connection.
+
+    Raises
+    ------
+    ExchangeFailed
+        If it is not whole.
+    """
+    cut = splitter.find_cut()
+    if cut is not None:
+        raise StreamEndedEarly(cut, exchange.end_mark)
+    if splitter.has_remainder and not exchange.has_marked_end:
+        raise ConnectionLost("the body ended inside a line or paragraph")
+
+
+__all__ = ["StreamEndedEarly", "check_stream_end"]
--- a/src/fescueflow/platform/__init__.py
+++ b/src/fescueflow/platform/__init__.py
@@ -48,6 +48,7 @@
 from fescueflow.platform.wire import (
     ATTEMPT_ID_HEADER,
     ATTEMPT_ID_VARIABLE,
+    EVENT_FIELDS,
     LEAVING_HEADER,
     LIMIT_HEADER,
     METRICS_PATH,
@@ -76,6 +77,7 @@
     "ATTEMPT_ID_HEADER",
     "ATTEMPT_ID_VARIABLE",
     "ERA_MAX",
+    "EVENT_FIELDS",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "METRICS_PATH",
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -52,6 +52,9 @@
 # would take time to convert.
 LOAD_DIGITS_MAX = 9
 
+# Fields that upstreams add to events, besides those of the format.
+EVENT_FIELDS = frozenset({b"x-weight-versions"})
+
 MISDIRECTED_STATUS = 421
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
 # Headers that concern one connection and are not forwarded (RFC 9110, section 7.6.1).
@@ -317,6 +320,7 @@
 __all__ = [
     "ATTEMPT_ID_HEADER",
     "ATTEMPT_ID_VARIABLE",
+    "EVENT_FIELDS",
     "LEAVING_HEADER",
     "LIMIT_HEADER",
     "METRICS_PATH",
