Await the event that had begun when a stream is resumed

What callers saw: a stream whose upstream broke off inside an event, and whose next upstream ended the body in good form without that event, came as a complete one. Cause: EventSplitter.resume dropped the part and what it tells: the stream has at least one event more than the last whole one. Change: an end before an event with a field has come is a cut (before_event), which is handled and counted like an end inside an event. A part that holds nothing but a comment announces no event. Result: test_resumption_without_the_event_that_had_begun failed for each of the three marks before (IncompleteRead not raised), passes now; test_resumption_after_the_last_event, where nothing has to follow, passed before and does now.

--- a/src/fescueflow/event_streams/ends.py
+++ b/src/fescueflow/event_streams/ends.py
@@ -24,9 +24,12 @@
     ----------
     INSIDE_EVENT
         It ends inside an event.
+    BEFORE_EVENT
+        It resumes a stream and ends before the event of which a part had arrived.
     """
 
     INSIDE_EVENT = "inside_event"
+    BEFORE_EVENT = "before_event"
 
 
 def may_hold_events(content_type: str | None) -> bool:
@@ -68,4 +71,9 @@
     return len(lines) == 1 and any(name.startswith(lines[0]) for name in names)
 
 
-__all__ = ["StreamCut", "begins_event", "may_hold_events"]
+def holds_field(data: bytes) -> bool:
+    """Return whether a part of an event has more than comments."""
+    return any(line and not line.startswith(b":") for line in LINE_END.split(data))
+
+
+__all__ = ["StreamCut", "begins_event", "holds_field", "may_hold_events"]
--- a/src/fescueflow/event_streams/splitting.py
+++ b/src/fescueflow/event_streams/splitting.py
@@ -4,7 +4,12 @@
 from collections.abc import Collection
 
 from fescueflow.core import FescueflowError
-from fescueflow.event_streams.ends import StreamCut, begins_event, may_hold_events
+from fescueflow.event_streams.ends import (
+    StreamCut,
+    begins_event,
+    holds_field,
+    may_hold_events,
+)
 
 # A blank line ends an event; a line ends with CRLF, LF or CR. A single CR at the end of
 # the data may be the first half of CRLF, so that it ends a blank line only in a stream
@@ -45,6 +50,8 @@
         self._pending = b""
         # Id after which a resumed stream goes on, until its first event.
         self._resumed_after: str | None = None
+        # Whether a part of the next event has arrived before the stream was resumed.
+        self._awaits_event = False
         self._field_names = field_names
         self._may_hold_events = may_hold_events(content_type)
         # Whether the body is made of events, once that is known.
@@ -75,6 +82,8 @@
             self._holds_events = True
         elif self._holds_events is None and events.strip():
             self._holds_events = begins_event(events, self._field_names)
+        if self._awaits_event and holds_field(events):
+            self._awaits_event = False
         return events
 
     def find_cut(self) -> StreamCut | None:
@@ -85,8 +94,10 @@
         A body that is not made of events may end anywhere. One that ends between two
         events can't be told from a whole stream.
         """
-        if not self._may_hold_events or not self.has_remainder:
+        if not self._may_hold_events:
             return None
+        if not self.has_remainder:
+            return StreamCut.BEFORE_EVENT if self._awaits_event else None
         if self._holds_events is None:
             holds_events = begins_event(self._pending, self._field_names)
         else:
@@ -110,6 +121,7 @@
 
     def resume(self) -> None:
         """Discard an incomplete event; later ones come from another upstream."""
+        self._awaits_event = self._awaits_event or holds_field(self._pending)
         self._pending = b""
         self._resumed_after = self.last_id
 
--- a/src/fescueflow/gateway/stream_ends.py
+++ b/src/fescueflow/gateway/stream_ends.py
@@ -5,7 +5,10 @@
 from fescueflow.http1 import EndMark
 from fescueflow.routing import AttemptFailure
 
-REASONS = {StreamCut.INSIDE_EVENT: "the stream ended inside an event"}
+REASONS = {
+    StreamCut.INSIDE_EVENT: "the stream ended inside an event",
+    StreamCut.BEFORE_EVENT: "the stream ended before an event that had begun",
+}
 
 
 class StreamEndedEarly(ExchangeFailed):
--- a/tests/gateway/test_stream_ends.py
+++ b/tests/gateway/test_stream_ends.py
@@ -112,6 +112,49 @@
                 self.assertEqual(caught.exception.partial, whole)
                 self.assertEqual(sum(self.count_arrivals()), 2)
 
+    def test_resumption_without_the_event_that_had_begun(self):
+        """Guards against a whole stream without an event of which a part was seen."""
+        for end_mark in EndMark:
+            with self.subTest(end_mark=end_mark):
+                self.answer_in_turn(
+                    self.cut(b"\n", 2, 4, EndMark.CHUNKS),
+                    lambda handler, mark=end_mark: send_body(handler, b"", mark),
+                )
+                with self.assertRaises(http.client.IncompleteRead) as caught:
+                    self.call("/stream/1")
+                whole = b"".join(make_events()[:2])
+                self.assertEqual(caught.exception.partial, whole)
+                count = self.gateway._metrics.get_count(
+                    "early_stream_ends", cut="before_event", end_mark=end_mark.value
+                )
+                self.assertEqual(count, 1)
+
+    def test_resumption_with_an_event_without_an_id(self):
+        """It is the event that had begun."""
+        last = b"event: end\ndata: 3\n\n"
+        first = b"".join(make_events()[:2]) + last[:5]
+        self.answer_in_turn(
+            lambda handler: send_body(handler, first, EndMark.CHUNKS),
+            lambda handler: send_body(handler, last, EndMark.CHUNKS),
+        )
+        body = self.call("/stream/1")[2]
+        self.assertEqual(body, b"".join(make_events()[:2]) + last)
+
+    def test_resumption_after_the_last_event(self):
+        """Nothing may follow: only the end of the body was lost, or a comment."""
+        events = b"".join(make_events())
+        for end_mark, tail in itertools.product(EndMark, (b"", b": ping")):
+            with self.subTest(end_mark=end_mark, tail=tail):
+                self.answer_in_turn(
+                    lambda handler, tail=tail: (
+                        handler.start_stream(),
+                        handler.send_part(events + tail),
+                        handler.reset_connection(),
+                    ),
+                    lambda handler, mark=end_mark: send_body(handler, b"", mark),
+                )
+                self.assertEqual(self.call("/stream/1")[2], events)
+
     def test_no_other_upstream_has_room(self):
         refusal = [("X-Not-Executed", "1")]
         for end_mark in EndMark:
