Check event streams on routes without streams, too

What callers saw: an event stream that ended inside an event came as a whole answer on safe and unsafe routes, and on streaming routes with a success other than 200. Cause: such a body is held until its end and was never looked at as a stream. Change: a success whose type is that of an event stream, and which is made of events, is checked before it is delivered: another upstream where the route allows a repeat, else 502. A failure is passed on as before.

--- a/src/fescueflow/event_streams/splitting.py
+++ b/src/fescueflow/event_streams/splitting.py
@@ -33,6 +33,8 @@
         Type of the body, if its head has one.
     field_names : collection of bytes, optional
         Names of fields in addition to those of the format.
+    event_bytes_max : float, optional
+        Limit for an incomplete event.
 
     Attributes
     ----------
@@ -40,10 +42,15 @@
         Id of the last complete event.
     event_count : int
         Number of complete events.
+    may_hold_events : bool
+        Whether the type of the body allows events.
     """
 
     def __init__(
-        self, content_type: str | None = None, field_names: Collection[bytes] = ()
+        self,
+        content_type: str | None = None,
+        field_names: Collection[bytes] = (),
+        event_bytes_max: float = EVENT_BYTES_MAX,
     ) -> None:
         self.last_id: str | None = None
         self.event_count = 0
@@ -53,7 +60,8 @@
         # Whether a part of the next event has arrived before the stream was resumed.
         self._awaits_event = False
         self._field_names = field_names
-        self._may_hold_events = may_hold_events(content_type)
+        self._event_bytes_max = event_bytes_max
+        self.may_hold_events = may_hold_events(content_type)
         # Whether the body is made of events, once that is known.
         self._holds_events: bool | None = None
 
@@ -72,7 +80,7 @@
             end = found.end()
             self.event_count += 1
         events, self._pending = self._pending[:end], self._pending[end:]
-        if len(self._pending) > EVENT_BYTES_MAX:
+        if len(self._pending) > self._event_bytes_max:
             raise MalformedStream("an event is too large")
         ids = [found.decode("latin-1").strip() for found in EVENT_ID.findall(events)]
         if ids:
@@ -94,7 +102,7 @@
         A body that is not made of events may end anywhere. One that ends between two
         events can't be told from a whole stream.
         """
-        if not self._may_hold_events:
+        if not self.may_hold_events:
             return None
         if not self.has_remainder:
             return StreamCut.BEFORE_EVENT if self._awaits_event else None
--- a/src/fescueflow/gateway/dispatch.py
+++ b/src/fescueflow/gateway/dispatch.py
@@ -30,6 +30,7 @@
 from fescueflow.gateway.requests import RequestContext
 from fescueflow.gateway.selected import Selection
 from fescueflow.gateway.selection import UpstreamSelector
+from fescueflow.gateway.stream_ends import CONTENT_TYPE
 from fescueflow.metrics import Metrics
 from fescueflow.platform import make_upstream_headers
 from fescueflow.routing import (
@@ -45,7 +46,6 @@
     may_retry,
 )
 
-CONTENT_TYPE = "Content-Type"
 SILENCE = ExchangeFailed(AttemptFailure.TIMED_OUT, "no byte in time")
 
 log = logbook.Logger("dispatch")
@@ -536,4 +536,4 @@
         )
 
 
-__all__ = ["CONTENT_TYPE", "SERVER_ERROR_MIN", "AttemptDispatcher"]
+__all__ = ["SERVER_ERROR_MIN", "AttemptDispatcher"]
--- a/src/fescueflow/gateway/exchange.py
+++ b/src/fescueflow/gateway/exchange.py
@@ -484,6 +484,7 @@
 
 
 __all__ = [
+    "UNSUCCESSFUL_STATUS_MIN",
     "ConnectionLost",
     "Exchange",
     "ExchangeFailed",
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -10,11 +10,7 @@
 from fescueflow.event_streams import EventSplitter, MalformedStream
 from fescueflow.gateway.attempts import Attempt
 from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
-from fescueflow.gateway.dispatch import (
-    CONTENT_TYPE,
-    SERVER_ERROR_MIN,
-    AttemptDispatcher,
-)
+from fescueflow.gateway.dispatch import SERVER_ERROR_MIN, AttemptDispatcher
 from fescueflow.gateway.errors import adjust_error
 from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
 from fescueflow.gateway.request_logs import (
@@ -30,7 +26,11 @@
 )
 from fescueflow.gateway.route_lookup import RouteLookup
 from fescueflow.gateway.selection import UpstreamSelector
-from fescueflow.gateway.stream_ends import check_stream_end
+from fescueflow.gateway.stream_ends import (
+    CONTENT_TYPE,
+    check_body_end,
+    check_stream_end,
+)
 from fescueflow.gateway.streams import (
     RelayTimes,
     StreamBody,
@@ -143,6 +143,7 @@
         if not is_stream:
             buffer = AnswerBuffer(self._buffers)
             body = attempt.read_body(context.deadline, buffer)
+            check_body_end(body, attempt.exchange)
             attempt.finish()
             response = Response(status, headers, body, buffer)
             if status < SERVER_ERROR_MIN or not self._can_retry_server_error(context):
--- a/src/fescueflow/gateway/stream_ends.py
+++ b/src/fescueflow/gateway/stream_ends.py
@@ -1,10 +1,20 @@
 """Checks of the end of a stream's body."""
 
+import math
+
 from fescueflow.event_streams import EventSplitter, StreamCut
-from fescueflow.gateway.exchange import ConnectionLost, Exchange, ExchangeFailed
+from fescueflow.gateway.exchange import (
+    UNSUCCESSFUL_STATUS_MIN,
+    ConnectionLost,
+    Exchange,
+    ExchangeFailed,
+)
 from fescueflow.http1 import EndMark
+from fescueflow.platform import EVENT_FIELDS
 from fescueflow.routing import AttemptFailure
 
+CONTENT_TYPE = "Content-Type"
+
 REASONS = {
     StreamCut.INSIDE_EVENT: "the stream ended inside an event",
     StreamCut.BEFORE_EVENT: "the stream ended before an event that had begun",
@@ -45,11 +55,38 @@
     ExchangeFailed
         If it is not whole.
     """
+    check_cut(splitter, exchange)
+    if splitter.has_remainder and not exchange.has_marked_end:
+        raise ConnectionLost("the body ended inside a line or paragraph")
+
+
+def check_body_end(body: bytes, exchange: Exchange) -> None:
+    """Check that a body which was held until its end is whole, if it is a stream.
+
+    Notes
+    -----
+    A body without a type counts as something else. The status of a failure already
+    tells the caller that there is no whole answer.
+
+    Raises
+    ------
+    StreamEndedEarly
+        If it is not whole.
+    """
+    content_type = exchange.get_header(CONTENT_TYPE)
+    if content_type is None or exchange.status >= UNSUCCESSFUL_STATUS_MIN:
+        return
+    splitter = EventSplitter(content_type, EVENT_FIELDS, event_bytes_max=math.inf)
+    if splitter.may_hold_events:
+        splitter.feed(body)
+        check_cut(splitter, exchange)
+
+
+def check_cut(splitter: EventSplitter, exchange: Exchange) -> None:
+    """Raise ``StreamEndedEarly`` if a body that has ended is not a whole stream."""
     cut = splitter.find_cut()
     if cut is not None:
         raise StreamEndedEarly(cut, exchange.end_mark)
-    if splitter.has_remainder and not exchange.has_marked_end:
-        raise ConnectionLost("the body ended inside a line or paragraph")
 
 
-__all__ = ["StreamEndedEarly", "check_stream_end"]
+__all__ = ["CONTENT_TYPE", "StreamEndedEarly", "check_body_end", "check_stream_end"]
--- a/tests/gateway/test_stream_ends.py
+++ b/tests/gateway/test_stream_ends.py
@@ -203,6 +203,32 @@
                 with self.assertRaises(http.client.IncompleteRead):
                     self.call("/single/1")
 
+    def test_event_stream_of_a_route_without_streams(self):
+        """It is held until it is whole, so that a retry or an error may follow."""
+        for end_mark in EndMark:
+            with self.subTest(end_mark=end_mark):
+                cut = self.cut(b"\n", 2, 4, end_mark)
+                self.answer_in_turn(cut, send_rest(b"\n", end_mark))
+                status, _, body = self.call("/safe/1")
+                self.assertEqual((status, body), (200, b"".join(make_events())))
+                self.answer_in_turn(cut)
+                status, _, body = self.call("/once/1")
+                error = json.loads(body)["error"]
+                self.assertEqual((status, error["outcome"]), (502, "outcome_unknown"))
+                self.assertEqual(sum(self.count_arrivals()), 1)
+
+    def test_event_stream_with_another_status(self):
+        """Guards against a success that is cut, and against a failure that is lost."""
+        data = cut_stream(b"\n", 2, 4)
+        for status, expected in ((201, 502), (404, 404)):
+            with self.subTest(status=status):
+                self.answer_in_turn(
+                    lambda h, status=status: send_body(
+                        h, data, EndMark.CHUNKS, status=status
+                    )
+                )
+                self.assertEqual(self.call("/single/1")[0], expected)
+
     def test_lines_of_a_cut_stream(self):
         self.answer_in_turn(self.cut(b"\n", 1, 4, EndMark.LENGTH))
         with self.assertRaises(http.client.IncompleteRead):
@@ -232,8 +258,8 @@
                 self.check_unchanged(data, end_mark, type_)
 
     def check_unchanged(self, data, end_mark, content_type):
-        """Check that a caller gets these bytes of one attempt, on both routes."""
-        for target in ("/stream/1", "/single/1"):
+        """Check that a caller gets these bytes of one attempt, on each route."""
+        for target in ("/stream/1", "/single/1", "/safe/1", "/once/1"):
             self.answer_in_turn(lambda h: send_body(h, data, end_mark, content_type))
             status, _, body = self.call(target)
             self.assertEqual((status, body), (200, data))
