Look for the whole last event of a stream that runs once

What callers saw: on serve, a streamed request that may run once was answered with a stream cut inside its last event, or inside a token whose text ends with that event's, as a whole one; whole streams of another form (data:[DONE], a comment after it) were refused. Cause: the executor compared the last bytes of the body, without its blank line. Change: it parses the events, as streams that may be resumed do, and counts the failed attempt (failed_attempts_total{reason="truncated"}), which it didn't.

--- a/src/fescueflow/delivery/executor.py
+++ b/src/fescueflow/delivery/executor.py
@@ -13,7 +13,7 @@
 )
 from fescueflow.delivery.attempts import Attempt, UpstreamClient
 from fescueflow.delivery.calls import CallerRequest, ResolvedRequest, resolve_call
-from fescueflow.delivery.events import DONE
+from fescueflow.delivery.events import DONE, iterate_events
 from fescueflow.delivery.exchange import AttemptFailed, FailureReason
 from fescueflow.delivery.retries import EXPIRED_SLOT_PAUSE_S
 from fescueflow.delivery.slots import HeldSlot, SlotFinder
@@ -115,8 +115,10 @@
         self, call: ResolvedRequest, attempt: Attempt, body: bytes
     ) -> None:
         if call.streamed and attempt.get_exchange().status == 200:
-            if not body.rstrip().endswith(b"data: " + DONE):
-                raise AttemptFailed(FailureReason.TRUNCATED, True)
+            if all(event.data != DONE for event in iterate_events([body])):
+                failure = AttemptFailed(FailureReason.TRUNCATED, True)
+                self._client.count_failure(failure)
+                raise failure
 
 
 def build_call(request: SubmitRequest) -> CallerRequest:
--- a/tests/delivery/test_dispatcher.py
+++ b/tests/delivery/test_dispatcher.py
@@ -239,6 +239,45 @@
         answer = self.dispatch(make_chat("once", stream=True))
         self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
 
+    def answer_with_stream(self, *parts):
+        """Let the upstream answer the next request with a whole body of a stream."""
+        body = b"".join(parts)
+        self.one.steps = [
+            lambda connection, request: fakes.send_response(
+                connection,
+                request.key,
+                body,
+                "200 OK",
+                "Content-Type: text/event-stream",
+            )
+        ]
+        return body
+
+    def test_stream_cut_inside_its_last_event(self):
+        """Guards against a cut stream that looks complete, wherever it was cut."""
+        for last in (
+            b"data: [DONE]",
+            b"data: [DONE]\n",
+            b"data: [DONE]\r\n\r",
+            b'data: {"text": "data: [DONE]',
+        ):
+            with self.subTest(last=last):
+                self.answer_with_stream(fakes.format_token(0), last)
+                call = make_chat("once", stream=True)
+                self.assert_fails(UpstreamFailed, Outcome.UNKNOWN, call)
+
+    def test_whole_stream_with_other_line_ends(self):
+        """Guards against whole streams that are refused for their form."""
+        for last in (
+            b"data:[DONE]\n\n",
+            b"data: [DONE]\r\n\r\n",
+            b"data: [DONE]\n\n: end\n\n",
+        ):
+            with self.subTest(last=last):
+                body = self.answer_with_stream(fakes.format_token(0), last)
+                answer = self.dispatch(make_chat("once", stream=True))
+                self.assertEqual(answer.body, body)
+
     def test_class_is_fixed_when_the_record_is_made(self):
         """Guards against a second run after an operation became idempotent."""
         call = make_service_call(method="GET", path="pay/1")
