Check event streams that serve holds until their end

What callers saw: on serve, an event stream of a plain service that ended inside an event, with the last chunk or its length, came as a whole body. Cause: a body counted as whole by its length or chunks alone. The check is one function of event_streams for both programs. Result: test_event_stream_cut_in_the_answer_of_a_service failed before, passes now; tests.delivery.test_dispatcher, test_streams and tests.gateway.test_stream_ends pass (106 tests).

--- a/src/fescueflow/delivery/exchange.py
+++ b/src/fescueflow/delivery/exchange.py
@@ -8,11 +8,13 @@
 
 from fescueflow.core import Clock, FescueflowError, InvalidRequest
 from fescueflow.delivery.calls import Headers
+from fescueflow.event_streams import find_body_cut
 from fescueflow.http1 import ChunkDecoder, TimedConnection
 
 READ_BYTES = 65536
 BODY_BYTES_MAX = 16 << 20
 REFUSAL_STATUS = 503
+UNSUCCESSFUL_STATUS_MIN = 300
 
 
 class FailureReason(Enum):
@@ -303,7 +305,8 @@
         Raises
         ------
         AttemptFailed
-            If the body is incomplete or larger than ``BODY_BYTES_MAX``.
+            If the body is incomplete or larger than ``BODY_BYTES_MAX``. An event stream
+            that ends inside an event is incomplete, however its body ends.
         """
         parts: list[bytes] = []
         size = 0
@@ -312,7 +315,11 @@
             if size > BODY_BYTES_MAX:
                 raise AttemptFailed(FailureReason.BROKEN, True)
             parts.append(data)
-        return b"".join(parts)
+        body = b"".join(parts)
+        is_success = self.status < UNSUCCESSFUL_STATUS_MIN
+        if is_success and find_body_cut(body, self.get_header("Content-Type")):
+            raise AttemptFailed(FailureReason.TRUNCATED, True)
+        return body
 
     def interrupt(self, at_once: bool) -> None:
         """Cancel the request; the thread that reads sees the end of the stream.
--- a/src/fescueflow/event_streams/splitting.py
+++ b/src/fescueflow/event_streams/splitting.py
@@ -1,5 +1,6 @@
 """Splitting of an event stream into complete events."""
 
+import math
 import re
 from collections.abc import Collection
 
@@ -42,8 +43,6 @@
         Id of the last complete event.
     event_count : int
         Number of complete events.
-    may_hold_events : bool
-        Whether the type of the body allows events.
     """
 
     def __init__(
@@ -61,7 +60,7 @@
         self._awaits_event = False
         self._field_names = field_names
         self._event_bytes_max = event_bytes_max
-        self.may_hold_events = may_hold_events(content_type)
+        self._may_hold_events = may_hold_events(content_type)
         # Whether the body is made of events, once that is known.
         self._holds_events: bool | None = None
 
@@ -102,7 +101,7 @@
         A body that is not made of events may end anywhere. One that ends between two
         events can't be told from a whole stream.
         """
-        if not self.may_hold_events:
+        if not self._may_hold_events:
             return None
         if not self.has_remainder:
             return StreamCut.BEFORE_EVENT if self._awaits_event else None
@@ -134,6 +133,26 @@
         self._resumed_after = self.last_id
 
 
+def find_body_cut(
+    body: bytes, content_type: str | None, field_names: Collection[bytes] = ()
+) -> StreamCut | None:
+    """Return how a body that was held until its end is cut, if it is a stream.
+
+    Parameters
+    ----------
+    body : bytes
+    content_type : str or None
+        A body without a type counts as something else.
+    field_names : collection of bytes, optional
+        Names of fields in addition to those of the format.
+    """
+    if content_type is None or not may_hold_events(content_type):
+        return None
+    splitter = EventSplitter(content_type, field_names, event_bytes_max=math.inf)
+    splitter.feed(body)
+    return splitter.find_cut()
+
+
 def is_later(event_id: str, other: str | None) -> bool:
     """Return whether an event comes after another one; ids grow by the protocol."""
     if other is None:
@@ -143,4 +162,4 @@
     return event_id != other
 
 
-__all__ = ["EventSplitter", "MalformedStream"]
+__all__ = ["EventSplitter", "MalformedStream", "find_body_cut"]
--- a/src/fescueflow/gateway/stream_ends.py
+++ b/src/fescueflow/gateway/stream_ends.py
@@ -1,8 +1,6 @@
 """Checks of the end of a stream's body."""
 
-import math
-
-from fescueflow.event_streams import EventSplitter, StreamCut
+from fescueflow.event_streams import EventSplitter, StreamCut, find_body_cut
 from fescueflow.gateway.exchange import (
     UNSUCCESSFUL_STATUS_MIN,
     ConnectionLost,
@@ -55,7 +53,9 @@
     ExchangeFailed
         If it is not whole.
     """
-    check_cut(splitter, exchange)
+    cut = splitter.find_cut()
+    if cut is not None:
+        raise StreamEndedEarly(cut, exchange.end_mark)
     if splitter.has_remainder and not exchange.has_marked_end:
         raise ConnectionLost("the body ended inside a line or paragraph")
 
@@ -65,26 +65,16 @@
 
     Notes
     -----
-    A body without a type counts as something else. The status of a failure already
-    tells the caller that there is no whole answer.
+    The status of a failure already tells the caller that there is no whole answer.
 
     Raises
     ------
     StreamEndedEarly
         If it is not whole.
     """
-    content_type = exchange.get_header(CONTENT_TYPE)
-    if content_type is None or exchange.status >= UNSUCCESSFUL_STATUS_MIN:
+    if exchange.status >= UNSUCCESSFUL_STATUS_MIN:
         return
-    splitter = EventSplitter(content_type, EVENT_FIELDS, event_bytes_max=math.inf)
-    if splitter.may_hold_events:
-        splitter.feed(body)
-        check_cut(splitter, exchange)
-
-
-def check_cut(splitter: EventSplitter, exchange: Exchange) -> None:
-    """Raise ``StreamEndedEarly`` if a body that has ended is not a whole stream."""
-    cut = splitter.find_cut()
+    cut = find_body_cut(body, exchange.get_header(CONTENT_TYPE), EVENT_FIELDS)
     if cut is not None:
         raise StreamEndedEarly(cut, exchange.end_mark)
 
--- a/tests/delivery/test_dispatcher.py
+++ b/tests/delivery/test_dispatcher.py
@@ -266,6 +266,21 @@
                 call = make_chat("once", stream=True)
                 self.assert_fails(UpstreamFailed, Outcome.UNKNOWN, call)
 
+    def test_event_stream_cut_in_the_answer_of_a_service(self):
+        """Guards against a cut stream that is delivered as a whole body."""
+        for calls_once in (False, True):
+            with self.subTest(calls_once=calls_once):
+                self.answer_with_stream(b"id: 1\ndata: a\n\nid: 2\nda")
+                if calls_once:
+                    call = make_service_call()
+                    self.assert_fails(UpstreamFailed, Outcome.UNKNOWN, call)
+                else:
+                    answer = self.dispatch(make_service_call("GET", "look/a", b""))
+                    self.assertIn(("Fescueflow-Upstream", "u2"), answer.headers)
+        for body in (b"id: 1\ndata: a\n\n", b"whole"):
+            self.answer_with_stream(body)
+            self.assertEqual(self.dispatch(make_service_call()).body, body)
+
     def test_whole_stream_with_other_line_ends(self):
         """Guards against whole streams that are refused for their form."""
         for last in (
