Ask for crashes of upstreams in withdrawn zones, too

Cause: at an unmarked end the instance looks whether the upstream still takes connections, unless it may be leaving. UpstreamSelector.is_ready took every upstream without new requests for one that leaves, also those of withdrawn zones, which stay and finish their answers. Change: PlatformState.is_serving: listed and not leaving, in any zone. The look at idle connections of upstreams that have just answered asks the same. Result: test_killed_upstream_in_a_withdrawn_zone and the one with a whole body failed before, pass now; test_upstream_in_a_withdrawn_zone_that_goes_on passes.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -166,7 +166,7 @@
             like the end of the body.
         """
         upstream = self.selection.upstream
-        if self.exchange.has_marked_end or not self._client.is_ready(upstream):
+        if self.exchange.has_marked_end or not self._client.is_serving(upstream):
             return
         if self._client.is_down(upstream, CRASH_CONFIRM_S):
             raise ConnectionLost("the upstream crashed at an unmarked end")
@@ -487,7 +487,7 @@
             elif is_open is False:
                 # Connecting may take until its time limit, during which requests wait:
                 # once for each upstream, one upstream at a time.
-                if self.is_ready(upstream) and self.is_down(upstream):
+                if self.is_serving(upstream) and self.is_down(upstream):
                     self._quarantine.record_refusal(upstream)
                 elif not self._pool.has_open(upstream.address):
                     self._quarantine.forget_answers(upstream)
@@ -548,9 +548,9 @@
         if attempt.has_survived:
             self.record_progress(attempt)
 
-    def is_ready(self, upstream: Upstream) -> bool:
+    def is_serving(self, upstream: Upstream) -> bool:
         """Return whether an upstream is listed and not leaving."""
-        return self._selector.is_ready(upstream)
+        return self._selector.is_serving(upstream)
 
     def is_down(self, upstream: Upstream, wait_s: float = 0.0) -> bool:
         """Return whether an upstream has crashed or refuses connections.
--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -284,19 +284,36 @@
         """Return the upstreams of a service that take new requests."""
         with self._lock:
             self._release_zones(now)
-            overdue = {
-                name for name, until in self._pending_removals.items() if now >= until
-            }
             return [
                 upstream
                 for upstream in self._upstreams.values()
                 if upstream.service == service
-                and upstream.state is UpstreamState.READY
                 and upstream.zone not in self._withdrawn
-                and upstream.id not in overdue
-                and not self._is_departing(upstream)
+                and self._stays(upstream, now)
             ]
 
+    def is_serving(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream is listed and not leaving.
+
+        Notes
+        -----
+        The upstreams of a withdrawn zone get no new requests, but stay and finish those
+        that they have.
+        """
+        with self._lock:
+            known = self._upstreams.get(upstream.id)
+            if known is None or known.started_at_ms != upstream.started_at_ms:
+                return False
+            return self._stays(known, now)
+
+    def _stays(self, upstream: Upstream, now: float) -> bool:
+        removed_at = self._pending_removals.get(upstream.id)
+        return (
+            upstream.state is UpstreamState.READY
+            and (removed_at is None or now < removed_at)
+            and not self._is_departing(upstream)
+        )
+
     def count_upstreams(self, service: ServiceId) -> int:
         """Return the number of a service's upstreams, whatever their state."""
         with self._lock:
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -175,14 +175,9 @@
             until = self._health.get_pause_end(upstream)
             self.ramps.await_end(upstream, RampCause.PAUSE, until)
 
-    def is_ready(self, upstream: Upstream) -> bool:
+    def is_serving(self, upstream: Upstream) -> bool:
         """Return whether an upstream is listed and not leaving."""
-        now = self._clock.monotonic()
-        ready = self._platform_state.list_upstreams(upstream.service, now)
-        return any(
-            (u.id, u.started_at_ms) == (upstream.id, upstream.started_at_ms)
-            for u in ready
-        )
+        return self._platform_state.is_serving(upstream, self._clock.monotonic())
 
     def list_available(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams that a coordinator may hand out.
--- a/tests/gateway/test_unmarked_ends.py
+++ b/tests/gateway/test_unmarked_ends.py
@@ -93,6 +93,40 @@
             self.upstreams[first] = self.start_upstream(f"u{first + 3}")
             time.sleep(0.2)
 
+    def start_in_withdrawn_zone(self, finish):
+        """Let the only upstream's zone be withdrawn while it answers."""
+        self.store.put("servers/u1", None)
+        self.store.put("servers/u2", None)
+        upstream = self.start_upstream("z1", zone="b")
+        state = self.gateway._platform_state
+
+        def script(handler):
+            self.store.put("op/evacuate/b", {})
+            self.wait_for(state.get_withdrawn_zones)
+            finish(handler, upstream)
+
+        upstream.script = script
+        self.wait_for(lambda: [u.id for u in state.list_all()] == ["z1"])
+
+    def end_killed(self, handler, upstream):
+        upstream.stop_listening()
+        send_unmarked(handler, make_event(1))
+
+    def test_killed_upstream_in_a_withdrawn_zone(self):
+        """It gets no new requests, but is to finish those that it has."""
+        self.start_in_withdrawn_zone(self.end_killed)
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.call("/single/1")
+        self.assertEqual(caught.exception.partial, make_event(1))
+
+    def test_killed_upstream_in_a_withdrawn_zone_with_a_whole_body(self):
+        self.start_in_withdrawn_zone(self.end_killed)
+        self.assertEqual(self.call("/once/1")[0], 502)
+
+    def test_upstream_in_a_withdrawn_zone_that_goes_on(self):
+        self.start_in_withdrawn_zone(lambda handler, _: send_unmarked(handler, EVENTS))
+        self.assertEqual(self.call("/single/1")[2], EVENTS)
+
     def test_leaving_upstream_that_ends_after_its_last_answer(self):
         """It refuses connections at once, but its answer is whole."""
 
