Tell the crash of a leaving upstream from its end

What callers saw: streams and answers without a length or chunks that a crash had cut came as whole ones, if their upstream had begun to leave. Cause: a leaving upstream was not asked whether it still takes connections, as it may have left after its last answer. Change: routing.departures keeps until when a leaving upstream is sure to serve, from the last state of the store without its departure, less the longest time for which news are under way. One that takes no connection before has crashed. After that, or where only an answer has announced the departure, nothing can be told from a refused connection; there, a crash that another request has shown counts. Settings without drain_timeout_ms change nothing for upstreams that leave, but for the latter.

--- a/src/fescueflow/gateway/attempts.py
+++ b/src/fescueflow/gateway/attempts.py
@@ -161,14 +161,19 @@
         Raises
         ------
         ConnectionLost
-            If the upstream takes no new connection, though it was not leaving: its
+            If the upstream takes no new connection, though it can't have left: its
             process may have been killed between two writes, which ends a connection
-            like the end of the body.
+            like the end of the body. One that may have left takes none, either; there,
+            a crash that other requests have shown tells.
         """
-        upstream = self.selection.upstream
-        if self.exchange.has_marked_end or not self._client.is_serving(upstream):
+        if self.exchange.has_marked_end:
             return
-        if self._client.is_down(upstream, CRASH_CONFIRM_S):
+        upstream, client = self.selection.upstream, self._client
+        if client.is_serving(upstream):
+            has_crashed = client.is_down(upstream, CRASH_CONFIRM_S)
+        else:
+            has_crashed = client.has_crashed(upstream)
+        if has_crashed:
             raise ConnectionLost("the upstream crashed at an unmarked end")
 
     def read_body(self, deadline: float, buffer: AnswerBuffer) -> bytes:
@@ -548,8 +553,12 @@
         if attempt.has_survived:
             self.record_progress(attempt)
 
+    def has_crashed(self, upstream: Upstream) -> bool:
+        """Return whether this start of an upstream is known to have crashed."""
+        return self._quarantine.has_crashed(upstream)
+
     def is_serving(self, upstream: Upstream) -> bool:
-        """Return whether an upstream is listed and not leaving."""
+        """Return whether an upstream stays, or leaves but is sure to serve still."""
         return self._selector.is_serving(upstream)
 
     def is_down(self, upstream: Upstream, wait_s: float = 0.0) -> bool:
--- a/src/fescueflow/gateway/era_memory.py
+++ b/src/fescueflow/gateway/era_memory.py
@@ -9,15 +9,13 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from fescueflow.core import UpstreamId, ZoneId
-from fescueflow.routing import Upstream, UpstreamState
+from fescueflow.core import ZoneId
+from fescueflow.routing import Start, Upstream, UpstreamState, get_start
 
 # Starts of upstreams that are remembered; more than a large fleet of upstreams has in
 # an hour. Copies of the store are some seconds old.
 STARTS_MAX = 4096
 
-Start = tuple[UpstreamId, int]
-
 
 class EraMemory:
     """Removed and draining upstreams and withdrawn zones; not thread-safe.
@@ -97,9 +95,4 @@
         return bool(overdue)
 
 
-def get_start(upstream: Upstream) -> Start:
-    """Return what identifies one start of an upstream."""
-    return upstream.id, upstream.started_at_ms
-
-
 __all__ = ["EraMemory"]
--- a/src/fescueflow/gateway/platform_state.py
+++ b/src/fescueflow/gateway/platform_state.py
@@ -9,8 +9,17 @@
 
 from fescueflow.core import UpstreamId, ZoneId
 from fescueflow.gateway.era_memory import EraMemory
+from fescueflow.gateway.store_calls import READ_TIMEOUT_S
 from fescueflow.platform.boot import EVACUATION_S_DEFAULT
-from fescueflow.routing import RoutingTable, Service, ServiceId, Upstream, UpstreamState
+from fescueflow.routing import (
+    Departures,
+    RoutingTable,
+    Service,
+    ServiceId,
+    Upstream,
+    UpstreamState,
+    get_start,
+)
 
 # Time after an outage of the store within which live upstreams restore their entries;
 # upstreams without an entry are removed then.
@@ -20,6 +29,8 @@
 # Time for which an announced departure is remembered; entries outlast their upstream by
 # far less.
 DEPARTURE_MEMORY_S = 600.0
+# Time after which a response of the store, or of a reader, is not awaited any more.
+NEWS_LAG_MAX_S = READ_TIMEOUT_S
 # Starts of upstreams that are remembered after their entries are gone; more than a
 # large fleet of upstreams has in an hour.
 STARTS_MAX = 4096
@@ -35,6 +46,9 @@
     ----------
     evacuation_s : float, optional
         Time for which a withdrawn zone stays so after the store has lost it.
+    drain_s : float, optional
+        Time for which an upstream serves after the store has taken its departure, 0 if
+        that is not known.
 
     Notes
     -----
@@ -43,7 +57,9 @@
     The highest version of the configuration stays in force whatever is read later.
     """
 
-    def __init__(self, evacuation_s: float = EVACUATION_S_DEFAULT) -> None:
+    def __init__(
+        self, evacuation_s: float = EVACUATION_S_DEFAULT, drain_s: float = 0.0
+    ) -> None:
         self._lock = threading.Lock()
         self._table: RoutingTable | None = None
         self._upstreams: dict[UpstreamId, Upstream] = {}
@@ -61,6 +77,7 @@
         self._listed_zones: frozenset[ZoneId] = frozenset()
         self._withdrawn: frozenset[ZoneId] = frozenset()
         self._memory = EraMemory(evacuation_s)
+        self._departures = Departures(drain_s, NEWS_LAG_MAX_S)
         self._grace_until = 0.0
         self._current_at = 0.0
 
@@ -152,6 +169,10 @@
             self._pending_removals.pop(upstream.id, None)
             before = self._upstreams.get(upstream.id)
             self._upstreams[upstream.id] = upstream
+            if upstream.state is UpstreamState.READY:
+                self._departures.forget(upstream)
+            elif before and get_start(before) == get_start(upstream):
+                self._record_departure(before)
             if (upstream.id, upstream.started_at_ms) not in self._listed_starts:
                 self._started.add((upstream.id, upstream.started_at_ms))
             if upstream.cold_until:
@@ -236,7 +257,13 @@
                 self._memory.record_removed(known)
             return self._remove(upstream, now)
 
+    def _record_departure(self, known: Upstream) -> None:
+        if known.state is UpstreamState.READY:
+            self._departures.record(known, self._current_at)
+
     def _remove(self, upstream: UpstreamId, now: float) -> bool:
+        if (known := self._upstreams.get(upstream)) is not None:
+            self._record_departure(known)
         if now < self._grace_until and upstream in self._upstreams:
             self._pending_removals.setdefault(upstream, self._grace_until)
             return False
@@ -293,7 +320,7 @@
             ]
 
     def is_serving(self, upstream: Upstream, now: float) -> bool:
-        """Return whether an upstream is listed and not leaving.
+        """Return whether an upstream stays, or leaves but is sure to serve still.
 
         Notes
         -----
@@ -302,9 +329,10 @@
         """
         with self._lock:
             known = self._upstreams.get(upstream.id)
-            if known is None or known.started_at_ms != upstream.started_at_ms:
-                return False
-            return self._stays(known, now)
+            is_listed = known is not None and get_start(known) == get_start(upstream)
+            if is_listed and known is not None and self._stays(known, now):
+                return True
+            return self._departures.is_serving(upstream, now)
 
     def _stays(self, upstream: Upstream, now: float) -> bool:
         removed_at = self._pending_removals.get(upstream.id)
--- a/src/fescueflow/gateway/process.py
+++ b/src/fescueflow/gateway/process.py
@@ -134,7 +134,7 @@
         self._metrics = Metrics()
         self._departure = Departure(clock)
         self._stopped = threading.Event()
-        self._platform_state = PlatformState(boot.evacuation_s)
+        self._platform_state = PlatformState(boot.evacuation_s, boot.drain_s)
         self._loads = LoadTracker()
         self._pool = ConnectionPool(clock)
         self._peers = PeerTable(make_own_record(boot, clock, random_source))
--- a/src/fescueflow/gateway/selection.py
+++ b/src/fescueflow/gateway/selection.py
@@ -176,7 +176,7 @@
             self.ramps.await_end(upstream, RampCause.PAUSE, until)
 
     def is_serving(self, upstream: Upstream) -> bool:
-        """Return whether an upstream is listed and not leaving."""
+        """Return whether an upstream stays, or leaves but is sure to serve still."""
         return self._platform_state.is_serving(upstream, self._clock.monotonic())
 
     def list_available(self, service: ServiceId) -> list[Upstream]:
--- a/src/fescueflow/platform/boot.py
+++ b/src/fescueflow/platform/boot.py
@@ -40,7 +40,9 @@
     ``link_mbps`` is the bandwidth of the instance's link, ``memory_mb`` the memory at
     which its process is killed, ``max_fds`` the number of its descriptors, 0 if the
     file does not tell it. ``evacuation_s`` is the time within which a withdrawn zone
-    gets nothing any more, and ``features`` are the optional mechanisms in use.
+    gets nothing any more, ``drain_s`` the time for which an upstream serves after its
+    departure is known to the platform, 0 if the file does not tell it, and ``features``
+    are the optional mechanisms in use.
     """
 
     instance: InstanceId
@@ -66,6 +68,7 @@
     features: frozenset[Feature] = ALL_FEATURES
     evacuation_s: float = EVACUATION_S_DEFAULT
     max_fds: float = 0.0
+    drain_s: float = 0.0
 
 
 class DocumentReader:
@@ -180,6 +183,7 @@
         link_mbps=read_limit(limits, "link_mbps", LINK_MBPS_DEFAULT),
         memory_mb=read_limit(limits, "memory_limit_mb", MEMORY_MB_DEFAULT),
         evacuation_s=read_evacuation(document.get("bounds")),
+        drain_s=read_drain(document.get("bounds")),
         max_fds=read_limit(limits, "max_fds", 0.0),
     )
 
@@ -213,6 +217,18 @@
     )
 
 
+def read_drain(bounds: Any) -> float:
+    """Return the time for which upstreams serve after their departure, in s.
+
+    Notes
+    -----
+    The file need not tell it. A value without end, by which an upstream that has left
+    would count as crashed, counts as missing.
+    """
+    drain_ms = read_limit(bounds, "drain_timeout_ms", 0.0)
+    return drain_ms / 1000 if math.isfinite(drain_ms) else 0.0
+
+
 def load_boot(environment: Mapping[str, str]) -> BootSettings:
     """Return the settings of this process from the file in ``FESCUEFLOW_CONFIG``.
 
--- a/src/fescueflow/routing/__init__.py
+++ b/src/fescueflow/routing/__init__.py
@@ -36,6 +36,7 @@
     CrashUpdate,
     make_crash_id,
 )
+from fescueflow.routing.departures import Departures, Start, get_start
 from fescueflow.routing.errors import CallerDisconnected, NoRoute, UnknownKey
 from fescueflow.routing.first_events import FirstEventTimes
 from fescueflow.routing.health import ColdStartLimiter, UpstreamHealth
@@ -168,6 +169,7 @@
     "CrashUpdate",
     "Culprit",
     "Customer",
+    "Departures",
     "EngineTraits",
     "FirstEvent",
     "FirstEventTimes",
@@ -213,6 +215,7 @@
     "Slowdown",
     "SpeedTable",
     "SpeedUpdate",
+    "Start",
     "TokenBuckets",
     "TokenSupply",
     "UnknownKey",
@@ -241,6 +244,7 @@
     "find_holder",
     "find_reason_to_leave_out",
     "find_route",
+    "get_start",
     "has_quarantine",
     "is_coordinated",
     "is_copy_worthwhile",
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -21,7 +21,7 @@
 [bounds]
 reuse_delay_s = 2
 stable_window_ms = 3000
-drain_timeout_ms = 2000
+drain_timeout_ms = {drain_ms}
 grace_period_s = {grace_s}
 retry_ratio = 0.2
 retry_window_s = 10
@@ -48,6 +48,7 @@
         "directory": 7004,
         "store": 7005,
         "grace_s": 8,
+        "drain_ms": 2000,
     }
     return BOOT.format(**{**defaults, **ports})
 
--- a/tests/gateway/gateway_case.py
+++ b/tests/gateway/gateway_case.py
@@ -54,6 +54,8 @@
 
     # Grace period; only tests of a leaving instance need a longer one.
     grace_s = 0.4
+    # Time for which an upstream that leaves is sure to serve.
+    drain_ms = 2000
     # Instance that is called.
     host = "127.0.0.1"
 
@@ -65,7 +67,9 @@
         names = ("peer_port", "callers", "ready", "directory")
         ports = {name: find_free_port("127.0.0.1") for name in names}
         self.ports = ports
-        boot = make_boot(store=self.store.port, grace_s=self.grace_s, **ports)
+        boot = make_boot(
+            store=self.store.port, grace_s=self.grace_s, drain_ms=self.drain_ms, **ports
+        )
         self.gateway = Gateway(boot, SystemClock(), SeededRandomSource(1))
         self.gateway.start()
         self.addCleanup(self.gateway.leave)
--- a/tests/gateway/test_unmarked_ends.py
+++ b/tests/gateway/test_unmarked_ends.py
@@ -2,10 +2,11 @@
 
 import http.client
 import socket
+import threading
 import time
 
 from tests.gateway.fake_servers import make_event
-from tests.gateway.gateway_case import GatewayTestCase
+from tests.gateway.gateway_case import WAIT_S, GatewayTestCase
 
 EVENTS = b"".join(make_event(n) for n in range(1, 4))
 
@@ -37,6 +38,9 @@
 class UnmarkedEndTest(GatewayTestCase):
     """Guards against broken answers that look complete, and complete ones refused."""
 
+    # Longer than a test takes.
+    drain_ms = 60_000
+
     def cut(self, data, resets=False):
         return lambda handler: send_unmarked(handler, data, resets)
 
@@ -93,20 +97,35 @@
             self.upstreams[first] = self.start_upstream(f"u{first + 3}")
             time.sleep(0.2)
 
-    def start_in_withdrawn_zone(self, finish):
-        """Let the only upstream's zone be withdrawn while it answers."""
+    def start_alone(self, script):
+        """Start the only upstream; the script also gets it."""
         self.store.put("servers/u1", None)
         self.store.put("servers/u2", None)
         upstream = self.start_upstream("z1", zone="b")
+        upstream.script = lambda handler: script(handler, upstream)
         state = self.gateway._platform_state
+        self.wait_for(lambda: [u.id for u in state.list_all()] == ["z1"])
 
-        def script(handler):
+    def start_in_withdrawn_zone(self, finish):
+        """Let the only upstream's zone be withdrawn while it answers."""
+
+        def script(handler, upstream):
             self.store.put("op/evacuate/b", {})
-            self.wait_for(state.get_withdrawn_zones)
+            self.wait_for(self.gateway._platform_state.get_withdrawn_zones)
             finish(handler, upstream)
 
-        upstream.script = script
-        self.wait_for(lambda: [u.id for u in state.list_all()] == ["z1"])
+        self.start_alone(script)
+
+    def start_leaving(self, entry, finish):
+        """Let the only upstream leave while it answers, as its entry says."""
+
+        def script(handler, upstream):
+            state = self.gateway._platform_state
+            self.store.put("servers/z1", entry and upstream.make_entry(**entry))
+            self.wait_for(lambda: not state.list_upstreams("engines", 0.0))
+            finish(handler, upstream)
+
+        self.start_alone(script)
 
     def end_killed(self, handler, upstream):
         upstream.stop_listening()
@@ -127,6 +146,59 @@
         self.start_in_withdrawn_zone(lambda handler, _: send_unmarked(handler, EVENTS))
         self.assertEqual(self.call("/single/1")[2], EVENTS)
 
+    def check_killed_while_it_leaves(self, entry):
+        self.start_leaving(entry, self.end_killed)
+        with self.assertRaises(http.client.IncompleteRead) as caught:
+            self.call("/single/1")
+        self.assertEqual(caught.exception.partial, make_event(1))
+
+    def test_killed_upstream_that_leaves(self):
+        """It serves for a while after it has said so."""
+        self.check_killed_while_it_leaves({"state": "draining"})
+
+    def test_killed_upstream_whose_entry_was_removed(self):
+        """It serves for a while, too."""
+        self.check_killed_while_it_leaves(None)
+
+    def test_leaving_upstream_that_goes_on(self):
+        self.start_leaving({"state": "draining"}, lambda h, _: send_unmarked(h, EVENTS))
+        self.assertEqual(self.call("/single/1")[2], EVENTS)
+
+    def test_killed_upstream_that_may_have_left(self):
+        """Another request has shown that it crashed."""
+        both = threading.Barrier(2)
+        ends = [self.end_reset, self.end_after_a_crash]
+
+        def script(handler, upstream):
+            end = ends.pop()
+            handler.make_seal = lambda seal=handler.make_seal: [
+                *seal(),
+                ("Server-Leaving", "1"),
+            ]
+            both.wait(WAIT_S)
+            end(handler, upstream)
+
+        self.start_alone(script)
+        results = []
+        callers = [
+            threading.Thread(target=lambda: results.append(self.call("/once/1")[0]))
+            for _ in range(2)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join(WAIT_S)
+        self.assertEqual(results, [502, 502])
+
+    def end_reset(self, handler, upstream):
+        upstream.stop_listening()
+        handler.reset_connection()
+
+    def end_after_a_crash(self, handler, upstream):
+        known = self.gateway._platform_state.list_all()[0]
+        self.wait_for(lambda: self.gateway._quarantine.has_crashed(known))
+        send_unmarked(handler, b"part")
+
     def test_leaving_upstream_that_ends_after_its_last_answer(self):
         """It refuses connections at once, but its answer is whole."""
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -21,6 +21,12 @@
     def test_evacuation_time(self):
         """Guards against a zone that stays withdrawn for ever by an odd setting."""
         self.assertEqual(parse_boot(render_boot()).evacuation_s, 5.0)
+        self.assertEqual(parse_boot(render_boot()).drain_s, 2.0)
+        for value in ('"2000"', "inf", "-1"):
+            text = render_boot().replace(
+                "drain_timeout_ms = 2000", f"drain_timeout_ms = {value}"
+            )
+            self.assertEqual(parse_boot(text).drain_s, 0.0)
         for value, expected in ("4000", 4.0), ("nan", 5.0), ("inf", 5.0), ('"x"', 5.0):
             text = f"ttl_max_s = 5\nevacuation_ms = {value}"
             boot = parse_boot(render_boot().replace("ttl_max_s = 5", text))
