--- a/tests/gateway/pausing_upstreams.py
+++ b/tests/gateway/pausing_upstreams.py
@@ -71,7 +71,8 @@
     refused : set of str
         Attempts that were not run.
     broken : set of str
-        Attempts that were under way when the upstream ended.
+        Attempts that were under way when the upstream ended, or whose streams it ended
+        early.
     silences : list of tuple of float
         Begin and end of each silence.
     """
@@ -87,7 +88,10 @@
         self.is_up, self.is_leaving = True, False
         self._store = store
         self._born_ms = int(time.time() * 1000)
-        self._silent_until = 0.0
+        self._silent_until = self._early_until = 0.0
+        self._early_share = 0.0
+        # The other draws of a seed stay the same with and without early ends.
+        self._early_random = random.Random(f"{name} early ends")
         self._running = self._waiting = 0
         self._under_way = set()
         self._lock = threading.Condition()
@@ -122,6 +126,15 @@
         self._silent_until = now + seconds
         self.silences.append((now, self._silent_until))
 
+    def end_early(self, share, seconds):
+        """End streams inside this share of their events for some time."""
+        self._early_share, self._early_until = share, time.monotonic() + seconds
+
+    def _draw_early_end(self):
+        if time.monotonic() >= self._early_until:
+            return False
+        return self._early_random.random() < self._early_share
+
     def leave(self, linger_s):
         """Announce the end, refuse new requests, and end after some time."""
         self.is_leaving = True
@@ -223,7 +236,13 @@
         handler.send_header("Transfer-Encoding", "chunked")
         self._write(handler, handler.end_headers)
         for number in range(after + 1, count_events(handler.path, attempt) + 1):
-            self._write(handler, handler.send_part, make_event(attempt, number))
+            event = make_event(attempt, number)
+            if self._draw_early_end():
+                self.broken.add(attempt)
+                size = self._early_random.randrange(1, len(event))
+                self._write(handler, handler.send_part, event[:size])
+                break
+            self._write(handler, handler.send_part, event)
             self._wait(handler, self.gap_s, deadline)
         self._write(handler, handler.end_stream)
 
--- a/tests/gateway/process_soak.py
+++ b/tests/gateway/process_soak.py
@@ -4,7 +4,7 @@
 prints a line for each; the exit code is 1 if a promise was broken. Drawn are the size
 of the fleet, the upstreams and their room, and which troubles come in series and
 overlap: planned stops, reloads, configurations, and upstreams that fall silent, leave,
-or end and come back.
+end streams inside an event, or end and come back.
 """
 
 import argparse
--- a/tests/gateway/soak_troubles.py
+++ b/tests/gateway/soak_troubles.py
@@ -1,5 +1,6 @@
 """Drawn troubles of a soak of real processes: when, where and how often they come."""
 
+import random
 import signal
 import threading
 import time
@@ -19,13 +20,18 @@
         "configurations",
         "silences",
         "departures",
+        "early_ends",
         "kills",
         "halts",
         "bursts",
         "pairs",
     }
 )
+# Drawn apart, so that the seeds of the others keep their meaning.
+DRAWN_APART = frozenset({"early_ends"})
 SHARE = 0.6
+# Share of the events after whose first bytes a stream ends in good form.
+EARLY_END_SHARES = (0.005, 0.02)
 SILENCE_S = (1.0, 2.9)
 # The fraction of the grace period after which an instance takes no more connections.
 CLOSE_FRACTION = 0.35
@@ -50,7 +56,9 @@
 def draw_plan(soak, troubles, certain):
     """Return the troubles of a run."""
     drawn, plan = soak.random, Plan()
-    draws = {name: drawn.random() for name in sorted(TROUBLES)}
+    draws = {name: drawn.random() for name in sorted(TROUBLES - DRAWN_APART)}
+    for name in DRAWN_APART:
+        draws[name] = random.Random(f"{soak.seed} {name}").random()
     chosen = [name for name in sorted(troubles) if certain or draws[name] < SHARE]
     plan.kinds = chosen
     for name in chosen:
@@ -194,6 +202,23 @@
     soak.replace(upstream)
 
 
+def draw_early_ends(soak, plan):
+    """Draw upstreams that end some streams inside an event, but in good form."""
+    drawn = random.Random(f"{soak.seed} early ends")
+    at = drawn.uniform(0.0, 2.0)
+    while at < soak.seconds - 2.0:
+        seconds, share = drawn.uniform(1.0, 6.0), drawn.choice(EARLY_END_SHARES)
+        plan.add("early ends", at, end_early, soak, drawn.random(), share, seconds)
+        at += drawn.uniform(1.0, 5.0)
+
+
+def end_early(soak, fraction, share, seconds, _extra):
+    """Let some upstreams end streams early."""
+    up = soak.list_up()
+    for upstream in up[: max(1, round(fraction * len(up)))]:
+        upstream.end_early(share, seconds)
+
+
 def draw_kills(soak, plan):
     """Draw upstreams that end under their requests and come back."""
     drawn = soak.random
@@ -219,6 +244,7 @@
     "configurations": draw_configurations,
     "silences": draw_silences,
     "departures": draw_departures,
+    "early_ends": draw_early_ends,
     "kills": draw_kills,
 }
 
--- a/tests/gateway/test_process_soak.py
+++ b/tests/gateway/test_process_soak.py
@@ -27,6 +27,11 @@
     def test_requests_at_the_close_of_listeners(self):
         self.check_run(301, 5.0, room="roomy", troubles=AT_CLOSES, certain=True)
 
+    def test_streams_that_end_inside_an_event(self):
+        """Guards against cut streams that look complete, beside planned work."""
+        troubles = PLANNED | {"early_ends"}
+        self.check_run(401, 8.0, room="roomy", troubles=troubles, certain=True)
+
     @long_run
     def test_planned_work_with_requests_at_each_close(self):
         for seed in range(301, 304):
