--- a/tests/gateway/process_soak.py
+++ b/tests/gateway/process_soak.py
@@ -177,7 +177,7 @@
     def replace(self, upstream):
         """Start an upstream that has ended again, at its address."""
         name = f"{upstream.name}-{len(self.upstreams)}"
-        self._add_upstream(name, port=upstream.port, **upstream.shape)
+        self._add_upstream(name, **{**upstream.shape, "port": upstream.port})
 
     def list_up(self):
         """Return the upstreams that run and don't leave."""
