Know event streams by any form of their type and beginning

What callers saw: a stream cut inside an event came as whole if its type was repeated or empty, or its first event had only fields that the format doesn't name; on serve, a stream whose type was written with capitals and that lacked [DONE] came as a whole body. Cause: the type was compared as text, in two ways, and what a body holds was decided by its first event for good. Change: one function reads the type, of the first of several headers, in any case; an empty one counts as missing. A body that begins with something else is looked at until it shows an event.

--- a/src/fescueflow/delivery/dispatcher.py
+++ b/src/fescueflow/delivery/dispatcher.py
@@ -19,8 +19,9 @@
 from fescueflow.delivery.loop import StreamLoop
 from fescueflow.delivery.retries import Delivery, DeliveryContext
 from fescueflow.delivery.slots import SlotFinder
-from fescueflow.delivery.streams import EVENT_STREAM, StreamBody
+from fescueflow.delivery.streams import StreamBody
 from fescueflow.delivery.transfers import PrefixTransfers
+from fescueflow.event_streams import is_event_stream
 from fescueflow.invariants import Invariants
 from fescueflow.membership import ListService
 from fescueflow.metrics import Metrics
@@ -251,8 +252,8 @@
 
     def _is_event_stream(self, delivery: Delivery, attempt: Attempt) -> bool:
         exchange = attempt.get_exchange()
-        is_event_stream = exchange.get_header("Content-Type").startswith(EVENT_STREAM)
-        return delivery.call.streamed and exchange.status == 200 and is_event_stream
+        declares_events = is_event_stream(exchange.get_header("Content-Type"))
+        return delivery.call.streamed and exchange.status == 200 and declares_events
 
     def _relay(
         self,
--- a/src/fescueflow/delivery/streams.py
+++ b/src/fescueflow/delivery/streams.py
@@ -15,11 +15,11 @@
 from fescueflow.delivery.exchange import AttemptFailed, FailureReason
 from fescueflow.delivery.relays import KEEPALIVE_COMMENT, AttemptRelay, TryWrite
 from fescueflow.delivery.retries import Delivery
+from fescueflow.event_streams import is_event_stream
 from fescueflow.schema import SlotOutcome
 
 RESUME_BACKOFF_S = 0.05
 RESUME_BACKOFF_MAX_S = 1.0
-EVENT_STREAM = "text/event-stream"
 
 
 class StreamTruncated(UpstreamFailed):
@@ -204,8 +204,8 @@
 
     def _check_stream(self, attempt: Attempt) -> None:
         exchange = attempt.get_exchange()
-        is_event_stream = exchange.get_header("Content-Type").startswith(EVENT_STREAM)
-        if exchange.status != 200 or not is_event_stream:
+        declares_events = is_event_stream(exchange.get_header("Content-Type"))
+        if exchange.status != 200 or not declares_events:
             raise AttemptFailed(FailureReason.BROKEN, True)
 
     def _back_off(self) -> None:
@@ -231,4 +231,4 @@
         raise StreamTruncated(error.message)
 
 
-__all__ = ["EVENT_STREAM", "StreamBody", "StreamTruncated"]
+__all__ = ["StreamBody", "StreamTruncated"]
--- a/src/fescueflow/event_streams/ends.py
+++ b/src/fescueflow/event_streams/ends.py
@@ -13,6 +13,8 @@
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 FIELD_NAMES = frozenset({b"data", b"event", b"id", b"retry"})
 LINE_END = re.compile(rb"[\r\n]+")
+# Ends the type in the header; a repeated header is joined by commas.
+TYPE_END = re.compile(r"[;,]")
 # Bytes in which the first field of a stream is looked for.
 BEGINNING_BYTES = 4096
 
@@ -38,11 +40,14 @@
     Parameters
     ----------
     content_type : str or None
-        Value of the header; ``None`` if the head has none, so that the body decides.
+        Value of the header. Without one, the body decides.
     """
-    if content_type is None:
-        return True
-    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+    return not content_type or is_event_stream(content_type)
+
+
+def is_event_stream(content_type: str | None) -> bool:
+    """Return whether a header declares an event stream."""
+    return TYPE_END.split(content_type or "")[0].strip().lower() == EVENT_STREAM
 
 
 def begins_event(data: bytes, field_names: Collection[bytes] = ()) -> bool:
@@ -76,4 +81,10 @@
     return any(line and not line.startswith(b":") for line in LINE_END.split(data))
 
 
-__all__ = ["StreamCut", "begins_event", "holds_field", "may_hold_events"]
+__all__ = [
+    "StreamCut",
+    "begins_event",
+    "holds_field",
+    "is_event_stream",
+    "may_hold_events",
+]
--- a/src/fescueflow/event_streams/splitting.py
+++ b/src/fescueflow/event_streams/splitting.py
@@ -9,6 +9,7 @@
     StreamCut,
     begins_event,
     holds_field,
+    is_event_stream,
     may_hold_events,
 )
 
@@ -61,8 +62,8 @@
         self._field_names = field_names
         self._event_bytes_max = event_bytes_max
         self._may_hold_events = may_hold_events(content_type)
-        # Whether the body is made of events, once that is known.
-        self._holds_events: bool | None = None
+        # Whether the body is known to be made of events, and to begin with other text.
+        self._holds_events = self._holds_text = False
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return the events that it completes.
@@ -86,9 +87,10 @@
             if not is_later(ids[0], self._resumed_after):
                 raise MalformedStream("the stream began again")
             self.last_id, self._resumed_after = ids[-1], None
-            self._holds_events = True
-        elif self._holds_events is None and events.strip():
+            self._holds_events, self._holds_text = True, False
+        elif not self._holds_events and self._may_hold_events and events.strip():
             self._holds_events = begins_event(events, self._field_names)
+            self._holds_text = not self._holds_events
         if self._awaits_event and holds_field(events):
             self._awaits_event = False
         return events
@@ -105,11 +107,11 @@
             return None
         if not self.has_remainder:
             return StreamCut.BEFORE_EVENT if self._awaits_event else None
-        if self._holds_events is None:
-            holds_events = begins_event(self._pending, self._field_names)
-        else:
-            holds_events = self._holds_events
-        return StreamCut.INSIDE_EVENT if holds_events else None
+        if self._holds_text:
+            return None
+        if self._holds_events or begins_event(self._pending, self._field_names):
+            return StreamCut.INSIDE_EVENT
+        return None
 
     @property
     def has_partial_event(self) -> bool:
@@ -142,11 +144,11 @@
     ----------
     body : bytes
     content_type : str or None
-        A body without a type counts as something else.
+        A body without one counts as something else.
     field_names : collection of bytes, optional
         Names of fields in addition to those of the format.
     """
-    if content_type is None or not may_hold_events(content_type):
+    if not is_event_stream(content_type):
         return None
     splitter = EventSplitter(content_type, field_names, event_bytes_max=math.inf)
     splitter.feed(body)
--- a/tests/delivery/test_streams.py
+++ b/tests/delivery/test_streams.py
@@ -93,6 +93,18 @@
                 self.assertEqual(self.read_stream(), ([0, 1, 2, 3, 4], "done"))
                 self.assertEqual(self.two.received[0].document["resume_from"], 3)
 
+    def test_type_in_another_form(self):
+        """Guards against a cut stream that is delivered as another kind of body."""
+
+        def cut(connection, request):
+            head = ("Content-Type: Text/Event-Stream", "Transfer-Encoding: chunked")
+            fakes.send_head(connection, request.key, *head)
+            token = fakes.format_chunk(fakes.format_token(0))
+            connection.sendall(token + b"0\r\n\r\n")
+
+        self.one.steps, self.two.steps = [cut], [make_stream_step([1])]
+        self.assertEqual(self.read_stream(), ([0, 1], "done"))
+
     def test_silent_stream_is_resumed(self):
         self.node = FakeDispatchInstance(
             [self.one, self.two], upstream_silence_timeout_ms=200
--- a/tests/event_streams/test_splitting.py
+++ b/tests/event_streams/test_splitting.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies
 
-from fescueflow.event_streams import EventSplitter
+from fescueflow.event_streams import EventSplitter, StreamCut
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
@@ -52,6 +52,27 @@
                     self.assertEqual(found, first)
                     self.assertEqual(splitter.take_remainder(), second[:size])
 
+    def test_cut_after_an_unknown_field(self):
+        """Guards against events that are not known as such by their first line."""
+        splitter = EventSplitter()
+        for part in (b"x: 1\n\n", b"data: a\n\n", b"data: b"):
+            splitter.feed(part)
+        self.assertIs(splitter.find_cut(), StreamCut.INSIDE_EVENT)
+
+    def test_cut_after_blank_lines(self):
+        """Guards against a first event that is not known as one."""
+        splitter = EventSplitter()
+        splitter.feed(b"\n\n")
+        splitter.feed(b"id: 1\nda")
+        self.assertIs(splitter.find_cut(), StreamCut.INSIDE_EVENT)
+
+    def test_text_after_which_a_name_could_follow(self):
+        """Guards against a whole text that is taken for a cut stream."""
+        splitter = EventSplitter()
+        splitter.feed(b"one\n\n")
+        splitter.feed(b"i")
+        self.assertIsNone(splitter.find_cut())
+
     def test_lines_that_end_differently(self):
         splitter = EventSplitter()
         self.assertEqual(
--- a/tests/gateway/test_stream_ends.py
+++ b/tests/gateway/test_stream_ends.py
@@ -229,6 +229,17 @@
                 )
                 self.assertEqual(self.call("/single/1")[0], expected)
 
+    def test_other_forms_of_the_type(self):
+        """Guards against cut streams whose type is written in another way."""
+        data = cut_stream(b"\n", 1, 4)
+        for type_ in ("Text/Event-Stream; charset=utf-8", "text/event-stream, x/y", ""):
+            with self.subTest(type=type_):
+                self.answer_in_turn(
+                    lambda h, type_=type_: send_body(h, data, EndMark.CHUNKS, type_)
+                )
+                with self.assertRaises(http.client.IncompleteRead):
+                    self.call("/single/1")
+
     def test_lines_of_a_cut_stream(self):
         self.answer_in_turn(self.cut(b"\n", 1, 4, EndMark.LENGTH))
         with self.assertRaises(http.client.IncompleteRead):
