Take an event stream without an event for cut

What callers saw: a complete and empty stream where the upstream had stopped right after the head of its answer and ended the body in good form. Cause: only an end with the connection counted as one before the first event. Change: a body that is declared an event stream and holds nothing is cut (no_event), unless the caller resumes a stream, of which nothing may be left, or asks for the head alone: it is sent to another upstream where the route allows it, else the caller gets 502. Result: test_stream_without_an_event failed before (2 subtests), passes now; test_nothing_after_the_last_event_of_the_caller passes before and now; 89 tests of the modules concerned pass, at a load average of 22.

--- a/src/fescueflow/event_streams/ends.py
+++ b/src/fescueflow/event_streams/ends.py
@@ -28,10 +28,13 @@
         It ends inside an event.
     BEFORE_EVENT
         It resumes a stream and ends before the event of which a part had arrived.
+    NO_EVENT
+        It begins a stream and has no event.
     """
 
     INSIDE_EVENT = "inside_event"
     BEFORE_EVENT = "before_event"
+    NO_EVENT = "no_event"
 
 
 def may_hold_events(content_type: str | None) -> bool:
--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
 from fescueflow.gateway.dispatch import SERVER_ERROR_MIN, AttemptDispatcher
 from fescueflow.gateway.errors import adjust_error
-from fescueflow.gateway.exchange import ConnectionLost, ExchangeFailed
+from fescueflow.gateway.exchange import ExchangeFailed
 from fescueflow.gateway.request_logs import (
     log_broken_stream,
     log_failure,
@@ -29,6 +29,7 @@
 from fescueflow.gateway.stream_ends import (
     CONTENT_TYPE,
     check_body_end,
+    check_first_events,
     check_stream_end,
 )
 from fescueflow.gateway.streams import (
@@ -184,9 +185,10 @@
                 record_events(context, attempt, splitter, self._clock.monotonic())
                 return events
         check_stream_end(splitter, attempt.exchange)
-        if not attempt.exchange.has_marked_end:
-            raise ConnectionLost("the stream ended before its first event")
-        return splitter.take_remainder()
+        content = splitter.take_remainder()
+        resumes = context.request.headers.resumes_stream
+        check_first_events(attempt.exchange, content, resumes)
+        return content
 
     def _relay(
         self, context: RequestContext, splitter: EventSplitter, times: RelayTimes
--- a/src/fescueflow/gateway/stream_ends.py
+++ b/src/fescueflow/gateway/stream_ends.py
@@ -1,6 +1,11 @@
 """Checks of the end of a stream's body."""
 
-from fescueflow.event_streams import EventSplitter, StreamCut, find_body_cut
+from fescueflow.event_streams import (
+    EventSplitter,
+    StreamCut,
+    find_body_cut,
+    is_event_stream,
+)
 from fescueflow.gateway.exchange import (
     UNSUCCESSFUL_STATUS_MIN,
     ConnectionLost,
@@ -16,6 +21,7 @@
 REASONS = {
     StreamCut.INSIDE_EVENT: "the stream ended inside an event",
     StreamCut.BEFORE_EVENT: "the stream ended before an event that had begun",
+    StreamCut.NO_EVENT: "the stream ended before its first event",
 }
 
 
@@ -60,6 +66,29 @@
         raise ConnectionLost("the body ended inside a line or paragraph")
 
 
+def check_first_events(exchange: Exchange, content: bytes, resumes: bool) -> None:
+    """Check that a stream which has ended without an event may be whole.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    content : bytes
+        What the body holds instead of events.
+    resumes : bool
+        Whether the caller has events already, so that nothing may follow.
+
+    Raises
+    ------
+    ExchangeFailed
+        If it is not whole: an upstream that answers with a stream has events to send.
+    """
+    if not exchange.has_marked_end:
+        raise ConnectionLost(REASONS[StreamCut.NO_EVENT])
+    declares_events = is_event_stream(exchange.get_header(CONTENT_TYPE))
+    if declares_events and not (content or resumes or exchange.method == "HEAD"):
+        raise StreamEndedEarly(StreamCut.NO_EVENT, exchange.end_mark)
+
+
 def check_body_end(body: bytes, exchange: Exchange) -> None:
     """Check that a body which was held until its end is whole, if it is a stream.
 
@@ -79,4 +108,10 @@
         raise StreamEndedEarly(cut, exchange.end_mark)
 
 
-__all__ = ["CONTENT_TYPE", "StreamEndedEarly", "check_body_end", "check_stream_end"]
+__all__ = [
+    "CONTENT_TYPE",
+    "StreamEndedEarly",
+    "check_body_end",
+    "check_first_events",
+    "check_stream_end",
+]
--- a/src/fescueflow/platform/wire.py
+++ b/src/fescueflow/platform/wire.py
@@ -107,6 +107,11 @@
     prompt: Prompt
     forwarded: Headers
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has the first events of a stream already."""
+        return any(name.lower() == LAST_EVENT.lower() for name, _ in self.forwarded)
+
 
 def read_call_headers(headers: Iterable[tuple[str, str]]) -> CallHeaders:
     """Return the decoded headers of a caller.
--- a/tests/gateway/test_stream_ends.py
+++ b/tests/gateway/test_stream_ends.py
@@ -240,6 +240,27 @@
                 with self.assertRaises(http.client.IncompleteRead):
                     self.call("/single/1")
 
+    def test_stream_without_an_event(self):
+        """Guards against an empty answer of an upstream that stopped after its head."""
+        for end_mark in (EndMark.CHUNKS, EndMark.LENGTH):
+            with self.subTest(end_mark=end_mark):
+                empty = lambda h, mark=end_mark: send_body(h, b"", mark)  # noqa: E731
+                self.answer_in_turn(empty, send_rest(b"\n", end_mark))
+                self.assertEqual(self.call("/stream/1")[2], b"".join(make_events()))
+                self.answer_in_turn(empty)
+                status, _, body = self.call("/single/1")
+                error = json.loads(body)["error"]
+                self.assertEqual((status, error["outcome"]), (502, "outcome_unknown"))
+
+    def test_nothing_after_the_last_event_of_the_caller(self):
+        """A stream that the caller resumes may have no event left."""
+        self.answer_in_turn(lambda h: send_body(h, b"", EndMark.CHUNKS))
+        headers = {"Last-Event-Id": "3"}
+        status, _, body = self.call("/stream/1", headers=headers)
+        self.assertEqual((status, body), (200, b""))
+        status, _, body = self.call("/single/1", method="HEAD", body=None)
+        self.assertEqual((status, body), (200, b""))
+
     def test_lines_of_a_cut_stream(self):
         self.answer_in_turn(self.cut(b"\n", 1, 4, EndMark.LENGTH))
         with self.assertRaises(http.client.IncompleteRead):
