Share the caller of HTTP/1.0 between the tests of streams

Cause: two modules held the same nine lines. Change: GatewayTestCase.read_without_chunks; both tests still require a reset. Result: tests.gateway.test_broken_streams and the test of test_stream_ends pass.

--- a/tests/gateway/gateway_case.py
+++ b/tests/gateway/gateway_case.py
@@ -1,6 +1,7 @@
 """Base class of the gateway's end-to-end tests, and their configuration."""
 
 import http.client
+import socket
 import time
 import unittest
 
@@ -113,6 +114,16 @@
         finally:
             connection.close()
 
+    def read_without_chunks(self, target):
+        """Return all that a caller of HTTP/1.0 gets until its connection ends."""
+        with socket.create_connection((self.host, self.ports["callers"])) as caller:
+            caller.settimeout(WAIT_S)
+            caller.sendall(
+                f"POST {target} HTTP/1.0\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n"
+                "Authorization: Token k1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            return b"".join(iter(lambda: caller.recv(10_000), b""))
+
     def get_page(self, name, path):
         connection = http.client.HTTPConnection("127.0.0.1", self.ports[name])
         try:
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -1,7 +1,6 @@
 """Tests of streams that break off and of what comes after them."""
 
 import http.client
-import socket
 
 from tests.gateway.fake_servers import make_event
 from tests.gateway.gateway_case import GatewayTestCase
@@ -59,12 +58,5 @@
             handler.reset_connection()
 
         self.set_script(break_off, break_off)
-        with socket.create_connection(("127.0.0.1", self.ports["callers"])) as caller:
-            caller.settimeout(10.0)
-            caller.sendall(
-                b"POST /single/1 HTTP/1.0\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n"
-                b"Authorization: Token k1\r\nContent-Length: 0\r\n\r\n"
-            )
-            with self.assertRaises(ConnectionResetError):
-                while caller.recv(10_000):
-                    pass
+        with self.assertRaises(ConnectionResetError):
+            self.read_without_chunks("/single/1")
--- a/tests/gateway/test_stream_ends.py
+++ b/tests/gateway/test_stream_ends.py
@@ -3,7 +3,6 @@
 import http.client
 import itertools
 import json
-import socket
 
 import logbook
 
@@ -171,15 +170,8 @@
     def test_caller_of_an_old_protocol_version(self):
         """Without chunks, only a reset shows that the stream is cut."""
         self.answer_in_turn(self.cut(b"\n", 1, 4, EndMark.CHUNKS))
-        with socket.create_connection(("127.0.0.1", self.ports["callers"])) as caller:
-            caller.settimeout(10.0)
-            caller.sendall(
-                b"POST /single/1 HTTP/1.0\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n"
-                b"Authorization: Token k1\r\nContent-Length: 0\r\n\r\n"
-            )
-            with self.assertRaises(ConnectionResetError):
-                while caller.recv(10_000):
-                    pass
+        with self.assertRaises(ConnectionResetError):
+            self.read_without_chunks("/single/1")
 
     def test_first_field_that_is_cut(self):
         """Fields of the platform and comments are parts of events, too."""
