Name the check of a stream without events for what it checks

Cause: check_first_events checks the end of a body before its first event, and the limit of an incomplete event was a second copy of what an answer may always hold. Result: tests.gateway.test_stream_ends and test_endless_answers pass (34 tests).

--- a/src/fescueflow/gateway/forwarding.py
+++ b/src/fescueflow/gateway/forwarding.py
@@ -9,7 +9,11 @@
 )
 from fescueflow.event_streams import EventSplitter, MalformedStream
 from fescueflow.gateway.attempts import Attempt
-from fescueflow.gateway.buffers import AnswerBuffer, AnswerBuffers
+from fescueflow.gateway.buffers import (
+    GUARANTEED_BYTES,
+    AnswerBuffer,
+    AnswerBuffers,
+)
 from fescueflow.gateway.dispatch import SERVER_ERROR_MIN, AttemptDispatcher
 from fescueflow.gateway.errors import adjust_error
 from fescueflow.gateway.exchange import ExchangeFailed
@@ -29,7 +33,7 @@
 from fescueflow.gateway.stream_ends import (
     CONTENT_TYPE,
     check_body_end,
-    check_first_events,
+    check_end_before_events,
     check_stream_end,
 )
 from fescueflow.gateway.streams import (
@@ -153,7 +157,7 @@
             context.fallback = response
             raise ExchangeFailed(AttemptFailure.SERVER_ERROR, f"status {status}")
         context.content_type = attempt.exchange.get_header(CONTENT_TYPE)
-        splitter = EventSplitter(context.content_type, EVENT_FIELDS)
+        splitter = EventSplitter(context.content_type, EVENT_FIELDS, GUARANTEED_BYTES)
         # Until the first event arrives, the request may still be sent to another
         # upstream.
         while True:
@@ -187,7 +191,7 @@
         check_stream_end(splitter, attempt.exchange)
         content = splitter.take_remainder()
         resumes = context.request.headers.resumes_stream
-        check_first_events(attempt.exchange, content, resumes)
+        check_end_before_events(attempt.exchange, content, resumes)
         return content
 
     def _relay(
--- a/src/fescueflow/gateway/stream_ends.py
+++ b/src/fescueflow/gateway/stream_ends.py
@@ -66,7 +66,7 @@
         raise ConnectionLost("the body ended inside a line or paragraph")
 
 
-def check_first_events(exchange: Exchange, content: bytes, resumes: bool) -> None:
+def check_end_before_events(exchange: Exchange, content: bytes, resumes: bool) -> None:
     """Check that a stream which has ended without an event may be whole.
 
     Parameters
@@ -112,6 +112,6 @@
     "CONTENT_TYPE",
     "StreamEndedEarly",
     "check_body_end",
-    "check_first_events",
+    "check_end_before_events",
     "check_stream_end",
 ]
